--- /dev/null
+++ b/simhost/src/settings.rs
@@ -0,0 +1,142 @@
+//! Turns the wire's settings (JSON) into the library's.
+
+use pepperhook::{Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, ZoneId};
+use serde_json::Value;
+
+type Parsed<T> = Result<T, String>;
+
+fn need<'a>(v: &'a Value, key: &str) -> Parsed<&'a Value> {
+    v.get(key).ok_or_else(|| format!("settings lack '{key}'"))
+}
+
+fn number(v: &Value, key: &str) -> Parsed<f64> {
+    need(v, key)?.as_f64().ok_or_else(|| format!("settings: '{key}' is no number"))
+}
+
+fn whole(v: &Value, key: &str) -> Parsed<u64> {
+    need(v, key)?.as_u64().ok_or_else(|| format!("settings: '{key}' is no whole number"))
+}
+
+fn small<T: TryFrom<u64>>(v: &Value, key: &str) -> Parsed<T> {
+    T::try_from(whole(v, key)?).map_err(|_| format!("settings: '{key}' is out of range"))
+}
+
+fn text<'a>(v: &'a Value, key: &str) -> Parsed<&'a str> {
+    need(v, key)?.as_str().ok_or_else(|| format!("settings: '{key}' is no text"))
+}
+
+fn list<'a>(v: &'a Value, key: &str) -> Parsed<&'a Vec<Value>> {
+    need(v, key)?.as_array().ok_or_else(|| format!("settings: '{key}' is no list"))
+}
+
+fn numbers(v: &Value, key: &str) -> Parsed<Vec<f64>> {
+    let one = |x: &Value| x.as_f64().ok_or_else(|| format!("settings: '{key}' holds no number"));
+    list(v, key)?.iter().map(one).collect()
+}
+
+fn flag(v: &Value, key: &str) -> bool {
+    v.get(key).and_then(Value::as_bool).unwrap_or(false)
+}
+
+fn or(v: &Value, key: &str, absent: f64) -> f64 {
+    v.get(key).and_then(Value::as_f64).unwrap_or(absent)
+}
+
+fn class(c: &Value, i: usize, specifics: &Value) -> Parsed<Class> {
+    let at = |key: &str| {
+        let found = list(specifics, key)?.get(i).and_then(Value::as_f64);
+        found.ok_or_else(|| format!("settings: '{key}' has no figure for class {i}"))
+    };
+    let rung = |key: &str| {
+        let x = at(key)?;
+        if (0.0..256.0).contains(&x) {
+            Ok(x as u8)
+        } else {
+            Err(format!("settings: '{key}' is out of range"))
+        }
+    };
+    let group = || match c.get("group").and_then(Value::as_str) {
+        Some("zone") => Group::Zone,
+        Some("cell") => Group::Cell,
+        _ => Group::All,
+    };
+    let repeat = match text(c, "idempotency")? {
+        "idempotent" => Repeat::Harmless,
+        "deduplicated" => Repeat::Within(group(), whole(c, "window_ns")?),
+        "at_most_once" => Repeat::Never,
+        other => return Err(format!("settings: unknown idempotency '{other}'")),
+    };
+    let live = specifics.get("is_live").and_then(|l| l.get(i)).and_then(Value::as_bool);
+    Ok(Class {
+        aim: whole(c, "aim_ns")?,
+        repeat,
+        value: number(c, "value")?,
+        scale: at("scale_by_class")?,
+        floor: rung("lowest_rung")?,
+        top: rung("highest_rung")?,
+        seats: at("seats").map_or(0, |s| s.max(0.0) as u32),
+        live: live.unwrap_or(false),
+    })
+}
+
+fn gauge(name: &Value) -> Gauge {
+    match name.as_str() {
+        Some("active") => Gauge::Streams,
+        Some("cpu") => Gauge::LinkCapped,
+        Some("x0") => Gauge::Link,
+        Some("x1") => Gauge::Uplink,
+        _ => Gauge::Other,
+    }
+}
+
+/// Parses the settings of one instance.
+pub fn parse(raw: &[u8]) -> Parsed<Settings> {
+    let v: Value = serde_json::from_slice(raw).map_err(|e| format!("settings are not JSON: {e}"))?;
+    let (specifics, limits, rules) = (need(&v, "specifics")?, need(&v, "limits")?, need(&v, "rules")?);
+    let (rates, worths) = (numbers(specifics, "rung_kb")?, numbers(specifics, "ladder_worth")?);
+    if rates.len() != worths.len() {
+        return Err("settings: 'rung_kb' and 'ladder_worth' differ in length".into());
+    }
+    let classes = list(&v, "classes")?;
+    let tenants = v.get("tenants").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let gauges = v.get("load_report").and_then(|r| r.get("fields")).and_then(Value::as_array);
+    let price = |key: &str| v.get("prices").map_or(0.0, |p| or(p, key, 0.0));
+    let budget = rules.get("extra_per_request").and_then(Value::as_f64).map(|share| RetryBudget {
+        free: or(rules, "min_extra", 0.0),
+        share,
+        window: or(rules, "look_back_ns", 0.0) as u64,
+    });
+    Ok(Settings {
+        fronts: small(&v, "n_instances")?,
+        zone: ZoneId(small(&v, "az")?),
+        classes: classes.iter().enumerate().map(|(i, c)| class(c, i, specifics)).collect::<Parsed<_>>()?,
+        tenants: tenants.iter().map(|t| Tenant { quota_per_s: or(t, "quota_per_s", 0.0) }).collect(),
+        over_share_worth: or(&v, "over_share_worth", 1.0),
+        ladder: rates.into_iter().zip(worths).map(|(kb, worth)| Rung { kb, worth }).collect(),
+        kind_streams: numbers(specifics, "kind_slots")?,
+        racks: small(specifics, "groups")?,
+        cells: small(specifics, "positions")?,
+        uplink_kb: number(specifics, "uplink_kb")?,
+        kb_per_weight: or(specifics, "kb_per_weight", 0.0),
+        all_links_kb: or(specifics, "all_links_kb", 0.0),
+        join: or(specifics, "join", 1.0),
+        refuses_from: or(specifics, "refuses_from", 0.0),
+        seen_after: or(specifics, "seen_after_ns", 0.0) as u64,
+        switch_cost_s: or(specifics, "switch_cost_s", 0.0),
+        gauges: gauges.map_or_else(Vec::new, |g| g.iter().map(gauge).collect()),
+        probes: flag(limits, "probes"),
+        advice: flag(limits, "retry_after"),
+        max_advice: or(limits, "max_retry_after_ns", 0.0) as u64,
+        max_attempts: small(limits, "max_attempts")?,
+        list_on_request: v.get("membership_mode").and_then(Value::as_str) == Some("ask"),
+        step: or(&v, "step_ns", 0.0) as u64,
+        prices: Prices { moved: price("moves"), cross_zone: price("cross_zone"), probe: price("probe") },
+        rules: Rules {
+            cold_share: number(rules, "start_capacity")?,
+            cold: whole(rules, "cold_ns")?,
+            fall_multiple: number(rules, "fall_multiple")?,
+            fall_window: whole(rules, "fall_ns")?,
+            budget,
+        },
+    })
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,138 @@
+//! What a front remembers, as plain data, and the shape of its ladder. Nothing here decides anything.
+
+use crate::interface::*;
+use crate::window::SlidingSum;
+use std::collections::BTreeSet;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Phase {
+    Waiting,
+    SettingUp,
+    Playing,
+}
+
+pub struct Session {
+    pub wish: Wish,
+    pub class: usize,
+    pub top: u8,
+    pub value: f64,
+    pub rung: u8,
+    pub phase: Phase,
+    pub server: Option<ServerId>,
+    /// Servers not to be tried: those that failed it, and the one it was moved from.
+    pub shun: BTreeSet<ServerId>,
+    /// At the same rung as before a move, at most.
+    pub cap: u8,
+    pub deadline: Time,
+    pub attempts: u32,
+    /// When each attempt was sent and where, for classes that may repeat only within a group.
+    pub first_run: Option<(Time, ServerId)>,
+    pub maybe_ran: bool,
+    pub since: Time,
+    pub changed: Time,
+    pub moving: bool,
+}
+
+/// A use that was seen: what is asked over what is given, and when that was so.
+#[derive(Clone, Copy)]
+pub struct Reading {
+    pub used: f64,
+    pub at: Time,
+}
+
+pub struct Server {
+    pub entry: ServerEntry,
+    pub rack: u32,
+    pub sessions: BTreeSet<SessionId>,
+    pub own_kb: f64,
+    pub changes: SlidingSum,
+    pub link: Option<Reading>,
+    pub streams: Option<f64>,
+    pub short_at: Option<Time>,
+    pub strikes: u32,
+    pub barred_until: Time,
+    pub cold_from: Option<Time>,
+    /// Lost, and not yet seen to run again: it will be cold from a moment still unknown.
+    pub lost: bool,
+    pub heard_at: Time,
+    pub sends: SlidingSum,
+}
+
+#[derive(Default)]
+pub struct Rack {
+    pub changes: SlidingSum,
+    pub uplink: Option<Reading>,
+    /// Learnt capacity over the mean uplink.
+    pub factor: Option<f64>,
+    pub alert_until: Time,
+    pub moved_at: Option<Time>,
+    pub short_at: Option<Time>,
+}
+
+/// The rungs of a class worth choosing: each earns less for each kB than the one before.
+pub fn worthwhile(class: &Class, ladder: &[Rung]) -> Vec<(u8, f64, f64)> {
+    let mut steps: Vec<(u8, f64, f64)> = Vec::new();
+    for rung in class.floor..=class.top.min((ladder.len() - 1) as u8) {
+        let r = ladder[usize::from(rung)];
+        let before = steps.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
+        let mut step = (rung, r.kb * class.scale - before.0, r.worth - before.1);
+        while let Some(last) = steps.last().copied().filter(|l| l.2 * step.1 <= step.2 * l.1) {
+            step = (rung, step.1 + last.1, step.2 + last.2);
+            steps.pop();
+        }
+        steps.push(step);
+    }
+    steps
+}
+
+impl Server {
+    /// A server as the list names it, of which nothing else is known.
+    pub fn new(entry: ServerEntry, rack: u32, now: Time) -> Self {
+        Self {
+            entry,
+            rack,
+            sessions: BTreeSet::new(),
+            own_kb: 0.0,
+            changes: SlidingSum::default(),
+            link: None,
+            streams: None,
+            short_at: None,
+            strikes: 0,
+            barred_until: 0,
+            cold_from: entry.started,
+            lost: false,
+            heard_at: now,
+            sends: SlidingSum::default(),
+        }
+    }
+}
+
+impl Session {
+    /// A request as it comes.
+    pub fn new(now: Time, wish: Wish, class: usize, floor: u8, top: u8, value: f64) -> Self {
+        Self {
+            wish,
+            class,
+            top,
+            value,
+            rung: floor,
+            phase: Phase::Waiting,
+            server: None,
+            shun: BTreeSet::new(),
+            cap: top,
+            deadline: now.saturating_add(wish.patience),
+            attempts: 0,
+            first_run: None,
+            maybe_ran: false,
+            since: now,
+            changed: now,
+            moving: false,
+        }
+    }
+}
+
+/// Spreads a seed over all its bits.
+pub fn scatter(seed: u64) -> u64 {
+    let x = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x ^ (x >> 29)
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,121 @@
+//! The ordinary path, part by part.
+
+mod common;
+
+use common::*;
+use pepperhook::*;
+
+/// A front with sessions that fill `share` of rack 0's uplink on two servers, with holders in both racks.
+fn loaded(sessions: u64, rung: u8) -> Front {
+    let mut f = Front::new(settings(), &[server(1, 0), server(2, 1), server(3, 2), server(4, 3)]);
+    for n in 0..sessions {
+        f.under_way(n, wish(n, 0.0, 4.0), if n % 2 == 0 { 1 } else { 3 }, rung);
+    }
+    f
+}
+
+#[test]
+fn a_forecast_past_the_mark_moves_a_fraction_and_is_paced() {
+    let mut f = loaded(10, 3);
+    f.now += S;
+    let first = f.pass(500 * MS);
+    let moved = moves(&first);
+    assert!((1..=2).contains(&moved), "one in five of ten, not {moved}");
+    assert_eq!(moves(&f.pass(4 * S)), 0, "paced");
+}
+
+#[test]
+fn a_forecast_under_the_mark_moves_nothing() {
+    let mut f = loaded(8, 3);
+    assert_eq!(moves(&f.pass(10 * S)), 0);
+}
+
+#[test]
+fn a_moved_session_comes_back_at_the_same_rung_away_from_the_server_and_rack_left() {
+    let mut f = loaded(10, 3);
+    let actions = f.pass(500 * MS);
+    let Some(Action::Move(id)) = actions.iter().find(|a| matches!(a, Action::Move(_))) else {
+        panic!("nothing moved")
+    };
+    let left = if id.0 % 2 == 0 { 1 } else { 3 };
+    f.end(id.0, ServerId(left), Outcome::Cancelled, true);
+    f.now += 300 * MS;
+    let (at, rung) = f.ask(99, Wish { again: true, ..wish(id.0, 0.0, 4.0) }).expect("set up");
+    assert_eq!(rung, 3);
+    assert!([2, 4].contains(&at.0), "on the unalerted rack, not {at:?}");
+}
+
+#[test]
+fn short_delivery_without_an_alert_lowers_a_rung() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    f.under_way(1, wish(1, 0.0, 1.0), 1, 3);
+    f.now += 2 * S;
+    f.note(1, 1, NoteKind::LinkUse, 1.02);
+    f.now += S;
+    f.under_way(2, wish(2, 0.0, 1.0), 1, 3);
+    let actions = f.note(2, 1, NoteKind::Delivered, 0.9);
+    assert!(actions.iter().any(|a| matches!(a, Action::SetRung(_, 2))), "{actions:?}");
+    assert_eq!(moves(&actions), 0);
+}
+
+#[test]
+fn admission_takes_the_highest_rung_under_the_mark_on_link_and_uplink() {
+    for (kind, used, most) in [
+        (NoteKind::LinkUse, 0.1, 4),
+        (NoteKind::LinkUse, 0.82, 2),
+        (NoteKind::UplinkUse, 0.1, 4),
+        (NoteKind::UplinkUse, 0.82, 2),
+    ] {
+        let mut f = Front::new(settings(), &[server(1, 0)]);
+        f.under_way(1, wish(1, 0.0, 1.0), 1, 0);
+        f.now += 2 * S;
+        f.note(1, 1, NoteKind::LinkUse, 0.05);
+        f.note(1, 1, NoteKind::UplinkUse, 0.05);
+        f.note(1, 1, kind, used);
+        let (_, rung) = f.ask(2, wish(2, 0.0, 1.0)).expect("set up");
+        assert_eq!(rung, most, "{kind:?} {used}");
+    }
+}
+
+#[test]
+fn load_added_since_a_late_report_is_added_to_it() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    f.under_way(1, wish(1, 0.0, 1.0), 1, 0);
+    f.now += 2 * S;
+    f.note(1, 1, NoteKind::LinkUse, 0.6);
+    let mut sum = 0.6;
+    for n in 2..30 {
+        if let Some((_, rung)) = f.ask(n, wish(n, 0.0, 1.0)) {
+            sum += [200.0, 350.0, 600.0, 1000.0, 1800.0][usize::from(rung)] / 10_000.0;
+        }
+    }
+    assert!((0.8..=0.9001).contains(&sum), "{sum}");
+}
+
+#[test]
+fn a_new_session_goes_to_the_holder_with_fewest() {
+    let mut f = Front::new(settings(), &[server(1, 0), server(3, 2)]);
+    f.under_way(1, wish(1, 0.0, 4.0), 1, 0);
+    assert_eq!(f.play(2, wish(2, 0.0, 4.0)).0, ServerId(3));
+}
+
+#[test]
+fn rungs_rise_a_step_after_quiet_and_not_before() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    f.under_way(1, wish(1, 0.0, 1.0), 1, 1);
+    let rungs = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::SetRung(..))).count();
+    assert_eq!(rungs(&f.pass(2 * S)), 0);
+    let risen = f.pass(2 * S);
+    assert_eq!(risen.iter().filter(|a| **a == Action::SetRung(SessionId(1), 2)).count(), 1);
+    assert_eq!(rungs(&risen), 1, "one step at a time");
+}
+
+#[test]
+fn a_cut_of_everything_is_answered_in_proportion() {
+    let mut f = loaded(8, 3);
+    f.now += 2 * S;
+    f.note(0, 1, NoteKind::LinkUse, 0.4);
+    let actions = f.note(0, 1, NoteKind::UplinkUse, 1.6);
+    let lowered = actions.iter().filter(|a| matches!(a, Action::SetRung(..))).count();
+    assert!(lowered >= 4, "one session a second would not do: {lowered}");
+}
