--- a/src/decide.rs
+++ b/src/decide.rs
@@ -401,11 +401,12 @@
 
     // ---- rungs down and up ---------------------------------------------------------------------
 
-    /// Worth for each kB of the step to a rung from the one below, and its rate.
-    fn step(&self, s: &Session, rung: u8) -> (f64, f64) {
+    /// Worth for each kB of the step to a rung from the one below, and its rate. A session is taken to
+    /// play on for a window; what the switches cost is spread over it (negative: saved by not rising).
+    fn step(&self, s: &Session, rung: u8, switches: f64) -> (f64, f64) {
         let (high, low) = (self.set.ladder[usize::from(rung)], self.set.ladder[usize::from(rung) - 1]);
         let kb = self.kb(s.class, rung) - self.kb(s.class, rung - 1);
-        (s.value * (high.worth - low.worth) / kb, kb)
+        (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / seconds(WINDOW)) / kb, kb)
     }
 
     /// Lowers those sessions that lose least for each kB, until `kb` are free; never steps that lose
@@ -416,7 +417,7 @@
             let steps = ids.iter().filter_map(|id| {
                 let s = self.sessions.get(id).filter(|s| s.phase == Phase::Playing && !s.moving)?;
                 let above = s.rung > self.set.classes[s.class].floor;
-                let (slope, kb) = above.then(|| self.step(s, s.rung))?;
+                let (slope, kb) = above.then(|| self.step(s, s.rung, 1.0))?;
                 (slope < limit).then_some((slope, kb, *id))
             });
             let least = steps.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.total_cmp(&a.1)));
@@ -458,14 +459,14 @@
         let Some(server) = self.servers.get(&id) else { return };
         let rack = server.rack;
         let used = self.link_use(now, server, 1.0);
-        if used > 1.0 {
+        if used > 1.0 / DELIVERED {
             let (kb, ids) =
                 (server.own_kb * (1.0 - MARK / used), server.sessions.iter().copied().collect::<Vec<_>>());
             self.servers.entry(id).and_modify(|s| s.short_at = Some(now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
         let used = self.uplink_use(now, rack, 1.0);
-        if used > 1.0 {
+        if used > 1.0 / DELIVERED {
             self.racks[rack as usize].short_at = Some(now);
             self.alert(now, rack, out);
             let kb = self.own_rack_kb(rack) * (1.0 - MARK / used);
@@ -492,6 +493,7 @@
             let kb = self.kb(s.class, s.rung + 1) - self.kb(s.class, s.rung);
             steps.push((s.value * (high.worth - low.worth) / kb, *id));
         }
+        steps.retain(|(gain, _)| *gain > 0.0);
         steps.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in steps {
             let Some(s) = self.sessions.get(&id) else { continue };
