--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,7 +22,7 @@
 /// Part of the sessions that an alert moves (the paper's one in five).
 const FRACTION: f64 = 0.2;
 /// Rungs rise after so long without a shortage or a change.
-const QUIET: Time = 3 * SECOND;
+const QUIET: Time = 8 * SECOND;
 /// Delivery below this costs worth (the wire's 98 in 100).
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
