Answer a smoothed, late share of delivery once

Also covers notes of several servers of one rack. Could harm: a second cut within a second is answered late.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -296,10 +296,12 @@
     /// it, the uplink does, and its capacity is learnt from what was asked and what came.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64, out: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id) else { return };
-        if share >= DELIVERED {
+        let (at, rack, used) = (ago(now, self.set.seen_after), server.rack, 1.0 / share);
+        // The share is smoothed and late: what it tells of the time before the last relief has been answered.
+        let relieved = server.relieved_at.max(self.racks[rack as usize].relieved_at);
+        if share >= DELIVERED || at < relieved.saturating_add(SECOND) {
             return;
         }
-        let (at, rack, used) = (ago(now, self.set.seen_after), server.rack, 1.0 / share);
         let since = server.changes.since(at) / self.link_kb(now, server);
         let link = self.link_use(now, server, 1.0) - since;
         let asked = self.rack_kb(now, rack, 1.0) - self.racks[rack as usize].changes.since(at);
@@ -462,12 +464,13 @@
         if used > 1.0 / DELIVERED {
             let (kb, ids) =
                 (server.own_kb * (1.0 - MARK / used), server.sessions.iter().copied().collect::<Vec<_>>());
-            self.servers.entry(id).and_modify(|s| s.short_at = Some(now));
+            self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
         let used = self.uplink_use(now, rack, 1.0);
         if used > 1.0 / DELIVERED {
-            self.racks[rack as usize].short_at = Some(now);
+            let state = &mut self.racks[rack as usize];
+            (state.short_at, state.relieved_at) = (Some(now), now);
             self.alert(now, rack, out);
             let kb = self.own_rack_kb(rack) * (1.0 - MARK / used);
             let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,8 @@
     pub link: Option<Reading>,
     pub streams: Option<f64>,
     pub short_at: Option<Time>,
+    /// When rungs were last lowered for it.
+    pub relieved_at: Time,
     pub strikes: u32,
     pub barred_until: Time,
     pub cold_from: Option<Time>,
@@ -67,6 +69,8 @@
     pub alert_until: Time,
     pub moved_at: Option<Time>,
     pub short_at: Option<Time>,
+    /// When rungs were last lowered for it.
+    pub relieved_at: Time,
 }
 
 /// The rungs of a class worth choosing: each earns less for each kB than the one before.
@@ -97,6 +101,7 @@
             link: None,
             streams: None,
             short_at: None,
+            relieved_at: 0,
             strikes: 0,
             barred_until: 0,
             cold_from: entry.started,
