--- a/src/decide.rs
+++ b/src/decide.rs
@@ -463,7 +463,7 @@
         let used = self.link_use(now, server, 1.0);
         if used > 1.0 / DELIVERED {
             let (kb, ids) =
-                (server.own_kb * (1.0 - MARK / used), server.sessions.iter().copied().collect::<Vec<_>>());
+                (server.own_kb * (1.0 - 1.0 / used), server.sessions.iter().copied().collect::<Vec<_>>());
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
@@ -472,7 +472,7 @@
             let state = &mut self.racks[rack as usize];
             (state.short_at, state.relieved_at) = (Some(now), now);
             self.alert(now, rack, out);
-            let kb = self.own_rack_kb(rack) * (1.0 - MARK / used);
+            let kb = self.own_rack_kb(rack) * (1.0 - 1.0 / used);
             let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
@@ -569,7 +569,7 @@
             let fair = self.fair_rung(now, server, s).min(s.cap);
             let fitting = (class.floor..=fair.max(class.floor))
                 .rev()
-                .find(|r| self.fits(now, server, self.added_kb(server, s, *r), 1.0));
+                .find(|r| self.fits(now, server, self.added_kb(server, s, *r), f64::from(self.set.fronts)));
             // Nothing fits: the first worthwhile step, if lowering better-fed sessions makes the room.
             let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r).min(s.top);
             let rung = fitting.unwrap_or(entry);
