Bar a server that turns set-ups away although its link is not full

Also covers full places. Could harm: a server that refuses by chance is passed over for two seconds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -691,10 +691,12 @@
         let played = self.sessions.get(&id).is_some_and(|s| s.phase == Phase::Playing);
         let Some(state) = self.servers.get_mut(&server) else { return };
         match outcome {
+            // Its link is full, where servers refuse for that; else its places are, or it drains unannounced.
             Outcome::Full if self.set.refuses_from > 0.0 => {
                 let used = state.link.map_or(1.0, |r| r.used.max(1.0));
                 return state.link = Some(Reading { used, at: now });
             }
+            Outcome::Full => {}
             Outcome::Broken | Outcome::ConnectFailed => state.lost = true,
             Outcome::Error | Outcome::TimedOut if !played => {}
             _ => return,
