--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,8 @@
 
 /// Part of a link or uplink that may be asked for (the paper's nine tenths; true rates stray from listed).
 const MARK: f64 = 0.9;
+/// To what a shortage is shed: less than the excess leaves it, more costs switches that rises take back.
+const FULL: f64 = 1.0;
 /// Time between two looks at the racks.
 const PERIOD: Time = SECOND / 2;
 /// Window of the averaged session count, of tenants' rates and of learnt capacity (a third of the paper's
@@ -231,9 +233,10 @@
         }
     }
 
-    fn fits(&self, now: Time, server: &Server, kb: f64, others: f64) -> bool {
-        self.link_use(now, server, others) + kb / self.link_kb(now, server) <= MARK
-            && self.uplink_use(now, server.rack, others) + kb / self.uplink_kb(server.rack) <= MARK
+    /// Use of the fuller of link and uplink with `kb` more.
+    fn strain(&self, now: Time, server: &Server, kb: f64, others: f64) -> f64 {
+        let link = self.link_use(now, server, others) + kb / self.link_kb(now, server);
+        link.max(self.uplink_use(now, server.rack, others) + kb / self.uplink_kb(server.rack))
     }
 
     /// Takes in a load report; values out of range are passed over, noise is smoothed.
@@ -396,7 +399,7 @@
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
                 && self.holds(t, &s.wish)
-                && self.fits(now, t, kb, f64::from(self.set.fronts))
+                && self.strain(now, t, kb, f64::from(self.set.fronts)) <= MARK
         };
         self.servers.values().filter(fit).min_by_key(|t| t.sessions.len()).map(|t| t.entry.server)
     }
@@ -463,7 +466,7 @@
         let used = self.link_use(now, server, 1.0);
         if used > 1.0 / DELIVERED {
             let (kb, ids) =
-                (server.own_kb * (1.0 - 1.0 / used), server.sessions.iter().copied().collect::<Vec<_>>());
+                (server.own_kb * (1.0 - FULL / used), server.sessions.iter().copied().collect::<Vec<_>>());
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
@@ -472,7 +475,7 @@
             let state = &mut self.racks[rack as usize];
             (state.short_at, state.relieved_at) = (Some(now), now);
             self.alert(now, rack, out);
-            let kb = self.own_rack_kb(rack) * (1.0 - 1.0 / used);
+            let kb = self.own_rack_kb(rack) * (1.0 - FULL / used);
             let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
@@ -502,7 +505,7 @@
             let Some(s) = self.sessions.get(&id) else { continue };
             let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
             let kb = (self.added_kb(server, s, s.rung + 1) - self.kb(s.class, s.rung)).max(0.0);
-            if self.fits(now, server, kb * fronts, fronts) {
+            if self.strain(now, server, kb * fronts, fronts) <= MARK {
                 let (server, rung) = (server.entry.server, s.rung + 1);
                 self.set_rung(now, id, rung, out);
                 self.resum(now, server);
@@ -567,18 +570,20 @@
                 continue;
             }
             let fair = self.fair_rung(now, server, s).min(s.cap);
-            let fitting = (class.floor..=fair.max(class.floor))
-                .rev()
-                .find(|r| self.fits(now, server, self.added_kb(server, s, *r), f64::from(self.set.fronts)));
+            let with = |r: u8, others| self.strain(now, server, self.added_kb(server, s, r), others);
             // Nothing fits: the first worthwhile step, if lowering better-fed sessions makes the room.
             let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r).min(s.top);
+            let fitting = (class.floor..=fair.max(class.floor))
+                .rev()
+                .find(|r| with(*r, f64::from(self.set.fronts)) <= MARK);
             let rung = fitting.unwrap_or(entry);
             let alerted = self.racks[server.rack as usize].alert_until > now;
             let sound = self.sound(now, server) && !(paid && server.strikes > 0);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
             let worth = if fitting.is_some() { self.set.ladder[usize::from(rung)].worth } else { 0.0 };
-            let burden = server.sessions.len() as f64 / self.streams(server)
-                + self.link_use(now, server, 1.0) / 100.0
+            let burden = if fitting.is_some() { server.sessions.len() as f64 } else { 0.0 }
+                / self.streams(server)
+                + with(rung, 1.0) / if fitting.is_some() { 100.0 } else { 1.0 }
                 + if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
             let rank = (sound, !alerted && fitting.is_some(), worth - crossing, -burden);
             if best.as_ref().is_none_or(|(b, ..)| rank > *b) {
