--- a/src/decide.rs
+++ b/src/decide.rs
@@ -562,7 +562,7 @@
         let Some(s) = self.sessions.get(&id) else { return };
         let class = &self.set.classes[s.class];
         let paid = class.repeat == Repeat::Never;
-        let mut best = None::<(Rank, ServerId, u8, bool)>;
+        let mut ranked: Vec<(Rank, ServerId, u8, bool)> = Vec::new();
         for server in self.servers.values() {
             let full =
                 server.streams.unwrap_or(0.0).max(server.sessions.len() as f64) >= self.streams(server);
@@ -586,13 +586,13 @@
                 + with(rung, 1.0) / if fitting.is_some() { 100.0 } else { 1.0 }
                 + if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
             let rank = (sound, !alerted && fitting.is_some(), worth - crossing, -burden);
-            if best.as_ref().is_none_or(|(b, ..)| rank > *b) {
-                best = Some((rank, server.entry.server, rung, fitting.is_some()));
-            }
+            ranked.push((rank, server.entry.server, rung, fitting.is_some()));
         }
-        let Some((_, server, rung, fits)) = best else { return self.give_up(now, id, out) };
-        if (fits || self.make_room(now, id, server, rung, out)) && self.send(now, id, server, rung, out) {
-            return;
+        ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, server, rung, fits) in ranked {
+            if (fits || self.make_room(now, id, server, rung, out)) && self.send(now, id, server, rung, out) {
+                return;
+            }
         }
         self.give_up(now, id, out);
     }
