Racks count as settled sooner; a rise must earn two switches

Prints of one front showed two causes: all sessions rose at once after 8 s of quiet, on every front, just before the crowd, and afterwards sessions stayed on the lowest rung for 10 s with uplinks at 0.4 to 0.7. Told from failing servers by the shares delivered: every rack short at once, no server silent. Change: 3 s after a shortage a rack counts as settled, sessions under the first worthwhile rung may rise then, and a rise must earn two switches over a window.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 //! Whatever leaves this module passes the section "guards of the six rules" at the end.
 
 use crate::interface::*;
-use crate::state::{Phase, Rack, Reading, Server, Session, scatter, worthwhile};
+use crate::state::*;
 use crate::window::{SECOND, SlidingSum, ago, seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,6 +25,9 @@
 const FRACTION: f64 = 0.2;
 /// Rungs rise after so long without a shortage or a change.
 const QUIET: Time = 8 * SECOND;
+/// Racks count as settled, and sessions below the first worthwhile rung rise, after so long: notes come each
+/// second and up to a second and a half late.
+const SETTLED: Time = 3 * SECOND;
 /// Delivery below this costs worth (the wire's 98 in 100).
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
@@ -146,18 +149,8 @@
         }
     }
 
-    fn holds(&self, server: &Server, wish: &Wish) -> bool {
-        let cells = f64::from(self.set.cells);
-        let (home, copies) = (wish.home.max(0.0).min(cells), wish.copies.max(0.0).min(cells));
-        (f64::from(server.entry.cell) + cells - home.floor()) % cells < copies.floor()
-    }
-
     // ---- what is asked and what is given -------------------------------------------------------
 
-    fn kb(&self, class: usize, rung: u8) -> f64 {
-        self.set.ladder[usize::from(rung)].kb * self.set.classes[class].scale
-    }
-
     /// What a session adds to a server: only a part where it joins a live stream.
     fn added_kb(&self, server: &Server, session: &Session, rung: u8) -> f64 {
         let joins =
@@ -165,7 +158,7 @@
                 && server.sessions.iter().filter_map(|id| self.sessions.get(id)).any(|s| {
                     s.wish.title == session.wish.title && s.class == session.class && s.rung == rung
                 });
-        self.kb(session.class, rung) * if joins { self.set.join } else { 1.0 }
+        rate(&self.set, session.class, rung) * if joins { self.set.join } else { 1.0 }
     }
 
     /// Brings the account of own rates on a server up to date.
@@ -175,7 +168,7 @@
         let mut own = 0.0;
         for s in server.sessions.iter().filter_map(|id| self.sessions.get(id)) {
             let alone = !self.set.classes[s.class].live || streams.insert((s.wish.title, s.class, s.rung));
-            own += self.kb(s.class, s.rung) * if alone { 1.0 } else { self.set.join };
+            own += rate(&self.set, s.class, s.rung) * if alone { 1.0 } else { self.set.join };
         }
         let Some(server) = self.servers.get_mut(&id) else { return };
         let change = own - server.own_kb;
@@ -339,7 +332,7 @@
         let mut count = 0.0;
         for s in self.in_rack(rack).flat_map(|s| &s.sessions).filter_map(|id| self.sessions.get(id)) {
             let title = titles.entry(s.wish.title).or_default();
-            *title = (title.0 + self.kb(s.class, s.rung), title.1 + 1.0);
+            *title = (title.0 + rate(&self.set, s.class, s.rung), title.1 + 1.0);
             count += (now.saturating_sub(s.since).min(WINDOW)) as f64 / WINDOW as f64;
         }
         let mean = titles.values().map(|(kb, n)| kb / n).sum::<f64>() / titles.len().max(1) as f64;
@@ -365,7 +358,7 @@
             .filter_map(|id| self.sessions.get(id).map(|s| (*id, s)))
             .filter(|(_, s)| s.phase == Phase::Playing && !s.moving && s.since + QUIET < now)
             .filter(|(_, s)| !self.set.classes[s.class].live || self.set.join >= 1.0)
-            .map(|(id, s)| (self.kb(s.class, s.rung), id))
+            .map(|(id, s)| (rate(&self.set, s.class, s.rung), id))
             .collect();
         movable.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let most = (FRACTION * ids.len() as f64).ceil() as usize;
@@ -398,7 +391,7 @@
                 && self.racks[t.rack as usize].alert_until <= now
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
-                && self.holds(t, &s.wish)
+                && holds(&self.set, t, &s.wish)
                 && self.strain(now, t, kb, f64::from(self.set.fronts)) <= MARK
         };
         self.servers.values().filter(fit).min_by_key(|t| t.sessions.len()).map(|t| t.entry.server)
@@ -410,7 +403,7 @@
     /// play on for a window; what the switches cost is spread over it (negative: saved by not rising).
     fn step(&self, s: &Session, rung: u8, switches: f64) -> (f64, f64) {
         let (high, low) = (self.set.ladder[usize::from(rung)], self.set.ladder[usize::from(rung) - 1]);
-        let kb = self.kb(s.class, rung) - self.kb(s.class, rung - 1);
+        let kb = rate(&self.set, s.class, rung) - rate(&self.set, s.class, rung - 1);
         (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / seconds(WINDOW)) / kb, kb)
     }
 
@@ -485,26 +478,29 @@
     /// front does the same.
     fn rise(&mut self, now: Time, out: &mut Vec<Action>) {
         let fronts = f64::from(self.set.fronts);
-        let quiet = |t: Option<Time>| t.is_none_or(|t| t + QUIET <= now);
+        let quiet = |t: Option<Time>| t.is_none_or(|t| t + SETTLED <= now);
         let mut steps: Vec<(f64, SessionId)> = Vec::new();
         for (id, s) in &self.sessions {
             let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
             let rack = &self.racks[server.rack as usize];
             let calm = quiet(server.short_at) && quiet(rack.short_at) && rack.alert_until <= now;
-            if s.phase != Phase::Playing || s.moving || s.rung >= s.top || !calm || s.changed + QUIET > now {
+            if s.phase != Phase::Playing
+                || s.moving
+                || s.rung >= s.top
+                || !calm
+                || s.changed + if s.rung < self.steps[s.class][0].0 { SETTLED } else { QUIET } > now
+            {
                 continue;
             }
-            let (low, high) =
-                (self.set.ladder[usize::from(s.rung)], self.set.ladder[usize::from(s.rung) + 1]);
-            let kb = self.kb(s.class, s.rung + 1) - self.kb(s.class, s.rung);
-            steps.push((s.value * (high.worth - low.worth) / kb, *id));
+            // A rise may have to be taken back, so that it must earn two switches.
+            steps.push((self.step(s, s.rung + 1, -2.0).0, *id));
         }
         steps.retain(|(gain, _)| *gain > 0.0);
         steps.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, id) in steps {
             let Some(s) = self.sessions.get(&id) else { continue };
             let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
-            let kb = (self.added_kb(server, s, s.rung + 1) - self.kb(s.class, s.rung)).max(0.0);
+            let kb = (self.added_kb(server, s, s.rung + 1) - rate(&self.set, s.class, s.rung)).max(0.0);
             if self.strain(now, server, kb * fronts, fronts) <= MARK {
                 let (server, rung) = (server.entry.server, s.rung + 1);
                 self.set_rung(now, id, rung, out);
@@ -564,8 +560,8 @@
         let paid = class.repeat == Repeat::Never;
         let mut ranked: Vec<(Rank, ServerId, u8, bool)> = Vec::new();
         for server in self.servers.values() {
-            let full =
-                server.streams.unwrap_or(0.0).max(server.sessions.len() as f64) >= self.streams(server);
+            let places = streams(&self.set, server);
+            let full = server.streams.unwrap_or(0.0).max(server.sessions.len() as f64) >= places;
             if s.shun.contains(&server.entry.server) || full || !self.may_send(now, id, server) {
                 continue;
             }
@@ -580,12 +576,13 @@
             let alerted = self.racks[server.rack as usize].alert_until > now;
             let sound = self.sound(now, server) && !(paid && server.strikes > 0);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
-            let worth = if fitting.is_some() { self.set.ladder[usize::from(rung)].worth } else { 0.0 };
-            let burden = if fitting.is_some() { server.sessions.len() as f64 } else { 0.0 }
-                / self.streams(server)
-                + with(rung, 1.0) / if fitting.is_some() { 100.0 } else { 1.0 }
-                + if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
-            let rank = (sound, !alerted && fitting.is_some(), worth - crossing, -burden);
+            let cold = if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
+            // The fewest own sessions; where nothing fits, the least strain.
+            let (worth, burden) = match fitting {
+                Some(r) => (self.set.ladder[usize::from(r)].worth, server.sessions.len() as f64 / places),
+                None => (0.0, with(rung, 1.0)),
+            };
+            let rank = (sound, !alerted && fitting.is_some(), worth - crossing, -burden - cold);
             ranked.push((rank, server.entry.server, rung, fitting.is_some()));
         }
         ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
@@ -601,7 +598,7 @@
     fn make_room(&mut self, now: Time, id: SessionId, at: ServerId, rung: u8, out: &mut Vec<Action>) -> bool {
         let (Some(s), Some(server)) = (self.sessions.get(&id), self.servers.get(&at)) else { return false };
         let kb = self.added_kb(server, s, rung);
-        let limit = s.value * self.set.ladder[usize::from(rung)].worth / self.kb(s.class, rung);
+        let limit = s.value * self.set.ladder[usize::from(rung)].worth / rate(&self.set, s.class, rung);
         let (link, uplink, rack) = (self.link_kb(now, server), self.uplink_kb(server.rack), server.rack);
         let on_link = kb - (MARK - self.link_use(now, server, 1.0)) * link;
         let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
@@ -738,7 +735,7 @@
         let oldest = self
             .servers
             .values()
-            .filter(|s| self.sound(now, s) && self.holds(s, wish))
+            .filter(|s| self.sound(now, s) && holds(&self.set, s, wish))
             .min_by_key(|s| s.link.map_or(0, |r| r.at));
         if let Some(server) = oldest {
             self.probes -= 1.0;
@@ -796,7 +793,7 @@
             && repeatable
             // Rule 3: nothing new goes to a server that drains or is gone, without using the grace.
             && server.entry.state == ServerState::Ready
-            && self.holds(server, &s.wish)
+            && holds(&self.set, server, &s.wish)
             && self.cold_pace(now, server)
             // Rule 5: seats, counted from attempt to outcome.
             && (seats == 0 || self.sessions.values().filter(alike).count() < seats)
@@ -811,7 +808,7 @@
             return true;
         }
         let r = &self.set.rules;
-        let pace = self.streams(server) / seconds(r.cold).max(0.1) * warmth * COLD_SHARE;
+        let pace = streams(&self.set, server) / seconds(r.cold).max(0.1) * warmth * COLD_SHARE;
         let part = pace * r.fall_multiple * seconds(r.fall_window) * COLD_SHARE
             / f64::from(self.set.fronts).max(1.0);
         if part >= 1.0 {
@@ -833,11 +830,6 @@
         (r.cold_share + (1.0 - r.cold_share) * run).clamp(0.05, 1.0)
     }
 
-    fn streams(&self, server: &Server) -> f64 {
-        let kinds = &self.set.kind_streams;
-        kinds[usize::from(server.entry.kind.0).min(kinds.len() - 1)]
-    }
-
     /// Rule 6: further attempts in the window, this one included, against sessions taken in it.
     fn within_budget(&self, now: Time) -> bool {
         self.set.rules.budget.is_none_or(|b| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,3 +141,21 @@
     let x = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x ^ (x >> 29)
 }
+
+/// A server holds a title if its cell is one of those that the wish names.
+pub fn holds(set: &Settings, server: &Server, wish: &Wish) -> bool {
+    let cells = f64::from(set.cells);
+    let (home, copies) = (wish.home.max(0.0).min(cells), wish.copies.max(0.0).min(cells));
+    (f64::from(server.entry.cell) + cells - home.floor()) % cells < copies.floor()
+}
+
+/// Rate of a class on a rung, kB a second.
+pub fn rate(set: &Settings, class: usize, rung: u8) -> f64 {
+    set.ladder[usize::from(rung)].kb * set.classes[class].scale
+}
+
+/// Streams that a server runs at most; an unknown kind counts as the last one.
+pub fn streams(set: &Settings, server: &Server) -> f64 {
+    let kinds = &set.kind_streams;
+    kinds[usize::from(server.entry.kind.0).min(kinds.len() - 1)]
+}
