Gather the viewers of a live title where its stream already plays

The design scatters live viewers; a further one on the same server, class and rung adds only a part of the rate, and takes no place. Acts only where settings state a join under 1, for live classes, among holders equal in soundness, alert and rung. Could harm: a crowd for one title loads one server, which the mark on link and uplink bounds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -582,7 +582,14 @@
                 Some(r) => (self.set.ladder[usize::from(r)].worth, server.sessions.len() as f64 / places),
                 None => (0.0, with(rung, 1.0)),
             };
-            let rank = (sound, !alerted && fitting.is_some(), worth - crossing, -burden - cold);
+            // Departure: viewers of a live title gather where its stream of that rung already plays.
+            let joins = fitting.is_some_and(|r| self.added_kb(server, s, r) < rate(&self.set, s.class, r));
+            let rank = (
+                sound,
+                !alerted && fitting.is_some(),
+                worth - crossing,
+                if joins { 1.0 } else { -burden - cold },
+            );
             ranked.push((rank, server.entry.server, rung, fitting.is_some()));
         }
         ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -119,3 +119,14 @@
     let lowered = actions.iter().filter(|a| matches!(a, Action::SetRung(..))).count();
     assert!(lowered >= 4, "one session a second would not do: {lowered}");
 }
+
+#[test]
+fn viewers_of_a_live_title_gather_where_its_stream_plays() {
+    let mut s = settings();
+    (s.join, s.classes[0].live) = (0.3, true);
+    let mut f = Front::new(s, &[server(1, 0), server(3, 2)]);
+    let live = |n| Wish { title: TitleId(7), ..wish(n, 0.0, 4.0) };
+    let first = f.play(1, live(1));
+    assert_eq!(f.play(2, live(2)), first, "joins although the other holder has fewer sessions");
+    assert_ne!(f.play(3, wish(3, 0.0, 4.0)).0, first.0, "another title goes to the holder with fewest");
+}
