Fair rung from an even part of the capacity for each front

Cause: on incidents with six fronts each took what it held for its part, and together they filled more than there was.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -532,18 +532,12 @@
 
     /// The highest rung that all own sessions on this link and uplink could have alike.
     fn fair_rung(&self, now: Time, server: &Server, s: &Session) -> u8 {
-        let fronts = f64::from(self.set.fronts);
-        let part = |own: f64, used: f64, capacity: f64| {
-            MARK * capacity * (own / (used * capacity).max(1.0)).max(1.0 / fronts).min(1.0)
-        };
-        let (link, uplink) = (self.link_kb(now, server), self.uplink_kb(server.rack));
-        let on_link = part(server.own_kb, self.link_use(now, server, 1.0), link);
-        let on_uplink = part(self.own_rack_kb(server.rack), self.uplink_use(now, server.rack, 1.0), uplink);
-        let price = self.price_of_room(&mut server.sessions.iter(), s, on_link).max(self.price_of_room(
-            &mut self.in_rack(server.rack).flat_map(|s| &s.sessions),
-            s,
-            on_uplink,
-        ));
+        // Each front takes an even part for its own: what it holds now may be more only for the moment.
+        let part = MARK / f64::from(self.set.fronts);
+        let (link, uplink) = (part * self.link_kb(now, server), part * self.uplink_kb(server.rack));
+        let mut rack = self.in_rack(server.rack).flat_map(|s| &s.sessions);
+        let on_link = self.price_of_room(&mut server.sessions.iter(), s, link);
+        let price = on_link.max(self.price_of_room(&mut rack, s, uplink));
         let steps = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
         let fair = steps.take_while(|(_, kb, worth)| s.value * worth / kb >= price).last();
         fair.map_or(self.set.classes[s.class].floor, |(rung, ..)| *rung)
