--- a/src/decide.rs
+++ b/src/decide.rs
@@ -515,12 +515,9 @@
     /// `room` by worth; 0 if all fit. Steps below that price are beyond the fair rung.
     fn price_of_room(&self, ids: &mut dyn Iterator<Item = &SessionId>, newcomer: &Session, room: f64) -> f64 {
         let mut steps: Vec<(f64, f64)> = Vec::new();
-        let mut streams = BTreeSet::new();
         for s in ids.filter_map(|id| self.sessions.get(id)).chain(std::iter::once(newcomer)) {
-            let alone = !self.set.classes[s.class].live || streams.insert((s.wish.title, s.class));
-            let part = if alone { 1.0 } else { self.set.join };
             let within = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
-            steps.extend(within.map(|(_, kb, worth)| (s.value * worth / (kb * part), kb * part)));
+            steps.extend(within.map(|(_, kb, worth)| (s.value * worth / kb, *kb)));
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut used = 0.0;
