On short delivery a probe tells link from uplink

Cause: without a fresh report the note was held against the uplink (2.07 of it by one slow link), and old predictions of links stood for up to 10 s. Told from a weak uplink by the other servers of the rack, which were not short. Change: where probes are allowed, a note of short delivery asks the server, at most once a second and within a debt of ten probes. Also covers a stale figure after a restart. Could harm: probes of many servers at once cost up to ten set-ups' worth of the price.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,8 @@
 const COLD_SHARE: f64 = 0.7;
 /// What probes may cost, as a part of the worth of the sessions taken.
 const PROBE_SPEND: f64 = 0.006;
+/// Probes on a sign of shortage may run so far ahead of that.
+const PROBE_DEBT: f64 = 10.0;
 /// A viewer is remembered as moved for so long.
 const MOVE_MEMORY: Time = 10 * SECOND;
 /// Token of the periodic timer; other tokens are sessions' numbers.
@@ -119,7 +121,10 @@
             }
             Event::Left(id) => self.forget(now, id),
             Event::Note(id, server, kind, value) => self.note(now, (id, server, kind, value), out),
-            Event::Probed(server, Some(report)) => self.report(now, server, &report),
+            Event::Probed(server, Some(report)) => {
+                self.report(now, server, &report);
+                self.relieve(now, server, out);
+            }
             Event::ListFailed | Event::Probed(_, None) | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(token) => self.give_up(now, SessionId(token), out),
@@ -217,11 +222,9 @@
     fn uplink_use(&self, now: Time, rack: u32, others: f64) -> f64 {
         let (state, uplink) = (&self.racks[rack as usize], self.uplink_kb(rack));
         match state.uplink {
-            Some(r) => (self.own_rack_kb(rack) / uplink).max(grown(
-                r.used,
-                state.changes.since(r.at) / uplink,
-                others,
-            )),
+            Some(r) => {
+                grown(r.used, state.changes.since(r.at) / uplink, others).max(self.own_rack_kb(rack) / uplink)
+            }
             None => self.rack_kb(now, rack, others) / uplink,
         }
     }
@@ -298,6 +301,12 @@
         if share >= DELIVERED || at < relieved.saturating_add(SECOND) {
             return;
         }
+        // Where probes are allowed, one answer tells which of the two is short, and by how much now.
+        if self.set.probes && self.probes > -PROBE_DEBT && server.link.is_none_or(|r| r.at + SECOND < now) {
+            self.probes -= 1.0;
+            self.servers.entry(id).and_modify(|s| s.short_at = Some(now));
+            return out.push(Action::Probe(id));
+        }
         let since = server.changes.since(at) / self.link_kb(now, server);
         let link = self.link_use(now, server, 1.0) - since;
         let asked = self.rack_kb(now, rack, 1.0) - self.racks[rack as usize].changes.since(at);
@@ -312,8 +321,8 @@
             }
         } else {
             state.short_at = Some(now);
-            if state.uplink.is_some() {
-                state.uplink = Some(Reading { used, at });
+            if let Some(r) = state.uplink {
+                state.uplink = Some(if r.at < at { Reading { used, at } } else { r });
             } else {
                 state.factor = Some((asked * share / nominal).clamp(0.2, 2.0));
             }
@@ -458,8 +467,8 @@
         let rack = server.rack;
         let used = self.link_use(now, server, 1.0);
         if used > 1.0 / DELIVERED {
-            let (kb, ids) =
-                (server.own_kb * (1.0 - FULL / used), server.sessions.iter().copied().collect::<Vec<_>>());
+            let kb = server.own_kb * (1.0 - FULL / used);
+            let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
@@ -774,8 +783,7 @@
         // Rule 2: never two attempts out, no second set-up of what may have run.
         let repeatable = match (class.repeat, s.first_run) {
             (Repeat::Harmless, _) => true,
-            (Repeat::Never, _) => !s.maybe_ran,
-            (Repeat::Within(..), None) => !s.maybe_ran,
+            (Repeat::Never, _) | (Repeat::Within(..), None) => !s.maybe_ran,
             (Repeat::Within(group, span), Some((at, first))) => {
                 let first = self.servers.get(&first).map(|f| f.entry);
                 let same = first.is_some_and(|f| match group {
@@ -884,14 +892,9 @@
     /// Rules 1 and 2: the one final answer, at once, at the deadline at the latest: a refusal where that is
     /// honest, else a failure. With an attempt out its outcome comes first.
     fn give_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
-        let Some(s) = self.sessions.get(&id) else { return };
-        if s.phase != Phase::Waiting {
-            return;
-        }
-        let honest = match self.set.classes[s.class].repeat {
-            Repeat::Harmless | Repeat::Within(Group::All, _) => true,
-            Repeat::Never | Repeat::Within(..) => !s.maybe_ran,
-        };
+        let Some(s) = self.sessions.get(&id).filter(|s| s.phase == Phase::Waiting) else { return };
+        let repeat = self.set.classes[s.class].repeat;
+        let honest = !s.maybe_ran || matches!(repeat, Repeat::Harmless | Repeat::Within(Group::All, _));
         let advice = self.set.advice.then_some(self.set.max_advice);
         out.push(if honest && now < s.deadline { Action::Refuse(id, advice) } else { Action::Fail(id) });
         self.forget(now, id);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -130,3 +130,68 @@
     assert_eq!(f.play(2, live(2)), first, "joins although the other holder has fewer sessions");
     assert_ne!(f.play(3, wish(3, 0.0, 4.0)).0, first.0, "another title goes to the holder with fewest");
 }
+
+#[test]
+fn short_delivery_is_followed_by_a_probe_that_tells_link_from_uplink() {
+    let mut s = settings();
+    s.probes = true;
+    let mut f = Front::new(s, &[server(1, 0), server(3, 2)]);
+    for n in 0..6 {
+        f.under_way(n, wish(n, 0.0, 4.0), if n < 3 { 1 } else { 3 }, 3);
+    }
+    f.now += 5 * S;
+    let actions = f.note(0, 1, NoteKind::Delivered, 0.6);
+    assert_eq!(actions, [Action::Probe(ServerId(1))]);
+    f.now += 10 * MS;
+    let actions = f.tell(Event::Probed(ServerId(1), Some(vec![1.6, 0.5])));
+    let lowered: Vec<u64> = actions
+        .iter()
+        .filter_map(|a| if let Action::SetRung(id, _) = a { Some(id.0) } else { None })
+        .collect();
+    assert!(!lowered.is_empty());
+    assert!(
+        lowered.iter().all(|n| *n < 3),
+        "only sessions on the full link, not the whole rack: {lowered:?}"
+    );
+}
+
+#[test]
+fn senseless_figures_reach_no_average() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    f.under_way(1, wish(1, 0.0, 1.0), 1, 2);
+    f.now += 2 * S;
+    for bad in [f64::NAN, f64::INFINITY, -1.0] {
+        for kind in [NoteKind::Delivered, NoteKind::LinkUse, NoteKind::UplinkUse, NoteKind::Rung] {
+            assert_eq!(f.note(1, 1, kind, bad), [], "{kind:?} {bad}");
+        }
+        f.tell(Event::Ended {
+            session: SessionId(99),
+            server: ServerId(1),
+            outcome: Outcome::Served,
+            settled: true,
+            report: vec![bad, bad],
+        });
+    }
+    let odd = Wish { home: f64::NAN, copies: f64::NAN, top: f64::NAN, ..wish(2, 0.0, 1.0) };
+    assert!(refused(&f.tell(Event::Request(SessionId(2), odd))));
+    let (_, rung) = f.ask(3, wish(3, 0.0, 1.0)).expect("still admits");
+    assert_eq!(rung, 4);
+}
+
+#[test]
+fn unknown_ids_and_late_outcomes_are_passed_over() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    assert_eq!(f.end(7, ServerId(1), Outcome::Served, false), []);
+    assert_eq!(f.end(7, ServerId(70), Outcome::TimedOut, false), []);
+    f.tell(Event::Started(SessionId(7), ServerId(70)));
+    assert_eq!(f.tell(Event::Left(SessionId(7))), []);
+    assert_eq!(f.tell(Event::Timer(7)), []);
+}
+
+#[test]
+fn zero_weights_and_no_link_figure_still_admit() {
+    let mut s = settings();
+    s.kb_per_weight = 0.0;
+    let mut f = Front::new(s, &[ServerEntry { weight: 0.0, ..server(1, 0) }]);
+    assert!(f.ask(1, wish(1, 0.0, 1.0)).is_some());
+}
