--- a/src/decide.rs
+++ b/src/decide.rs
@@ -522,12 +522,7 @@
 
     /// Worth for each kB of the first step that no longer fits if own sessions and a newcomer share
     /// `room` by worth; 0 if all fit. Steps below that price are beyond the fair rung.
-    fn price_of_room<'a>(
-        &self,
-        ids: impl Iterator<Item = &'a SessionId>,
-        newcomer: &Session,
-        room: f64,
-    ) -> f64 {
+    fn price_of_room(&self, ids: &mut dyn Iterator<Item = &SessionId>, newcomer: &Session, room: f64) -> f64 {
         let mut steps: Vec<(f64, f64)> = Vec::new();
         for s in ids.filter_map(|id| self.sessions.get(id)).chain(std::iter::once(newcomer)) {
             let within = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
@@ -547,9 +542,11 @@
     /// The highest rung that all own sessions on this link and uplink could have alike.
     fn fair_rung(&self, now: Time, server: &Server, s: &Session) -> u8 {
         // Each front takes an even part for its own: what it holds now may be more only for the moment.
-        let links: f64 = self.in_rack(server.rack).map(|t| self.link_kb(now, t)).sum();
-        let room = links.min(self.uplink_kb(server.rack)) * MARK / f64::from(self.set.fronts);
-        let price = self.price_of_room(self.in_rack(server.rack).flat_map(|t| &t.sessions), s, room);
+        let part = MARK / f64::from(self.set.fronts);
+        let (link, uplink) = (part * self.link_kb(now, server), part * self.uplink_kb(server.rack));
+        let mut rack = self.in_rack(server.rack).flat_map(|s| &s.sessions);
+        let on_link = self.price_of_room(&mut server.sessions.iter(), s, link);
+        let price = on_link.max(self.price_of_room(&mut rack, s, uplink));
         let steps = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
         let fair = steps.take_while(|(_, kb, worth)| s.value * worth / kb >= price).last();
         fair.map_or(self.set.classes[s.class].floor, |(rung, ..)| *rung)
