--- a/src/decide.rs
+++ b/src/decide.rs
@@ -465,16 +465,18 @@
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id) else { return };
         let rack = server.rack;
+        // Only on what was seen, and since the last relief: before, the other fronts have answered it too.
+        let fresh = |r: Option<Reading>, relieved| r.is_some_and(|r| r.at >= relieved);
         let used = self.link_use(now, server, 1.0);
-        if used > 1.0 / DELIVERED {
+        if used > 1.0 / DELIVERED && fresh(server.link, server.relieved_at) {
             let kb = server.own_kb * (1.0 - FULL / used);
             let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
             self.shed(now, &ids, kb, f64::INFINITY, out);
         }
         let used = self.uplink_use(now, rack, 1.0);
-        if used > 1.0 / DELIVERED {
-            let state = &mut self.racks[rack as usize];
+        let state = &mut self.racks[rack as usize];
+        if used > 1.0 / DELIVERED && (fresh(state.uplink, state.relieved_at) || state.factor.is_some()) {
             (state.short_at, state.relieved_at) = (Some(now), now);
             self.alert(now, rack, out);
             let kb = self.own_rack_kb(rack) * (1.0 - FULL / used);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -195,3 +195,28 @@
     let mut f = Front::new(s, &[ServerEntry { weight: 0.0, ..server(1, 0) }]);
     assert!(f.ask(1, wish(1, 0.0, 1.0)).is_some());
 }
+
+#[test]
+fn two_notes_of_one_shortage_are_answered_once() {
+    let mut f = loaded(8, 3);
+    f.now += 5 * S;
+    let lowered = |a: &[Action]| a.iter().filter(|a| matches!(a, Action::SetRung(..))).count();
+    assert!(lowered(&f.note(0, 1, NoteKind::UplinkUse, 1.5)) > 0);
+    f.now += 100 * MS;
+    assert_eq!(lowered(&f.note(1, 3, NoteKind::UplinkUse, 1.5)), 0, "seen before the relief");
+    f.now += S;
+    assert!(lowered(&f.note(1, 3, NoteKind::UplinkUse, 1.5)) > 0, "still short after it");
+}
+
+#[test]
+fn rungs_are_not_lowered_on_a_guess() {
+    let mut s = settings();
+    s.fronts = 6;
+    let mut f = Front::new(s, &[server(1, 0), server(3, 2)]);
+    for n in 0..6 {
+        f.under_way(n, wish(n, 0.0, 4.0), 1, 3);
+    }
+    f.now += 2 * S;
+    let actions = f.note(0, 1, NoteKind::LinkUse, 0.7);
+    assert!(actions.iter().all(|a| !matches!(a, Action::SetRung(..))), "the uplink has not been seen");
+}
