--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,7 @@
 /// Delivery below this costs worth (the wire's 98 in 100).
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
-const TRUST: f64 = 0.5;
+const TRUST: f64 = 0.8;
 /// A first failure bars a server so long; each further one doubles it, up to `MAX_STRIKES` times.
 const BAR: Time = 2 * SECOND;
 const MAX_STRIKES: u32 = 4;
