--- a/src/decide.rs
+++ b/src/decide.rs
@@ -838,7 +838,8 @@
     fn within_budget(&self, now: Time) -> bool {
         self.set.rules.budget.is_none_or(|b| {
             let after = ago(now, b.window);
-            self.further.since(after) + 1.0 <= b.free + b.share * self.taken.since(after)
+            // An attempt just on the edge still counts, a session there no longer does.
+            self.further.since(after.saturating_sub(1)) + 1.0 <= b.free + b.share * self.taken.since(after)
         })
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -140,3 +140,18 @@
     }
     assert!(further > 0);
 }
+
+#[test]
+fn an_attempt_just_on_the_edge_of_the_window_still_counts() {
+    for (gap, allowed) in [(10 * S, false), (10 * S + 1, true)] {
+        let mut s = settings();
+        s.rules.budget = Some(RetryBudget { free: 1.0, share: 0.0, window: 10 * S });
+        let mut f = Front::new(s, &[server(1, 0), server(2, 1)]);
+        let (at, _) = f.ask(1, wish(1, 0.0, 2.0)).expect("set up");
+        let (at, _) = placed(&f.end(1, at, Outcome::Full, false)).expect("the one free attempt");
+        f.end(1, at, Outcome::Served, true);
+        f.now += gap;
+        let (at, _) = f.ask(2, wish(2, 0.0, 2.0)).expect("set up");
+        assert_eq!(placed(&f.end(2, at, Outcome::Full, false)).is_some(), allowed);
+    }
+}
