Many fronts: estimate the others, act on the own part, look before placing

Where probes are allowed, stale holders are probed just before a session is placed, and a silent one is passed over. Short delivery is answered by the own part on that server alone: on a short uplink all servers of the rack tell so, which covers link and uplink alike and needs no probe. A note within a moment of a step down counted as one at set-up and was answered twice; now only with the start itself.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,15 +10,16 @@
 use crate::window::{SECOND, SlidingSum, ago, seconds};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Part of a link or uplink that may be asked for (the paper's nine tenths; true rates stray from listed).
-const MARK: f64 = 0.9;
-/// Part of a newcomer's worth that making room may lose: the session may be short, and the step comes back.
-const ROOM: f64 = 0.5;
+/// Part of a link or uplink that may be asked for. The paper's nine tenths leave too little for what a front
+/// cannot see: true rates stray from listed ones, and the others add to what was read.
+const MARK: f64 = 0.8;
 /// To what a shortage is shed: less than the excess leaves it, more costs switches that rises take back.
 const FULL: f64 = 1.0;
+/// Up to here a newcomer may come at its first worthwhile rung: short of a shortage, so that it costs nobody.
+const ENTRY: f64 = 0.9;
 /// Time between two looks at the racks.
 const PERIOD: Time = SECOND / 2;
-/// Window of the averaged count, of tenants' rates, learnt capacity and moved viewers (a third of the paper's
+/// Window of the averaged count, of what is usual and of moved viewers (a third of the paper's
 /// 30 s, since the sessions here last about as long as that).
 const WINDOW: Time = 10 * SECOND;
 /// An alert lasts so long, and moves are paced by it (the paper's T).
@@ -42,13 +43,22 @@
 /// Part of the cold budget that a front uses: set-ups differ in work.
 const COLD_SHARE: f64 = 0.7;
 /// What probes may cost, as a part of the worth of the sessions taken.
-const PROBE_SPEND: f64 = 0.006;
-/// Probes on a sign of shortage may run so far ahead of that.
-const PROBE_DEBT: f64 = 10.0;
+const PROBE_SPEND: f64 = 0.01;
+/// A reading older than this is worth a probe before a session is placed.
+const FRESH: Time = SECOND;
+/// A delivered share is smoothed over about so long.
+const SMOOTH: Time = SECOND / 2;
+/// A link's reading of this age still tells that short delivery is not the link's.
+const KNOWN: Time = 3 * SECOND;
+/// A reading loses weight at this pace (the paper's 30 s of past measurements; sessions last as long).
+const MEMORY: Time = 30 * SECOND;
+/// Use of links where nothing has been seen or held, and the weight of such a guess among readings.
+const BLIND: f64 = 0.6;
+const GUESS: f64 = 0.5;
 /// Token of the periodic timer; other tokens are sessions' numbers.
 const TICK: u64 = u64::MAX;
 
-/// Sound, with room and unalerted, worth less the crossing, lightness of burden.
+/// Sound, unalerted, worth less the crossing, lightness of burden.
 type Rank = (bool, bool, f64, f64);
 
 /// One front end's decisions.
@@ -62,10 +72,12 @@
     moved: BTreeMap<ViewerKey, (Time, ServerId, u8)>,
     taken: SlidingSum,
     further: SlidingSum,
-    tenants: Vec<SlidingSum>,
     probes: f64,
     ticking: bool,
     random: u64,
+    dice: u64,
+    /// Usual use of a link and of an uplink.
+    usual: (f64, f64),
     logged: BTreeMap<&'static str, Time>,
 }
 
@@ -85,10 +97,11 @@
             moved: BTreeMap::new(),
             taken: SlidingSum::default(),
             further: SlidingSum::default(),
-            tenants: settings.tenants.iter().map(|_| SlidingSum::default()).collect(),
             probes: 0.0,
             ticking: false,
             random: scatter(seed),
+            dice: scatter(seed) | 1,
+            usual: (BLIND, BLIND),
             logged: BTreeMap::new(),
             set: settings,
         })
@@ -121,11 +134,8 @@
             }
             Event::Left(id) => self.forget(now, id),
             Event::Note(id, server, kind, value) => self.note(now, (id, server, kind, value), out),
-            Event::Probed(server, Some(report)) => {
-                self.report(now, server, &report);
-                self.relieve(now, server, out);
-            }
-            Event::ListFailed | Event::Probed(_, None) | Event::Message(..) => {}
+            Event::Probed(server, report) => self.probed(now, server, report, out),
+            Event::ListFailed | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(token) => self.give_up(now, SessionId(token), out),
         }
@@ -191,19 +201,21 @@
         link * self.warmth(now, server)
     }
 
-    /// Use of a server's link: own rates in force or what was seen plus own changes since, if larger.
-    /// `others` counts the other fronts as changing likewise.
-    fn link_use(&self, now: Time, server: &Server, others: f64) -> f64 {
-        let link = self.link_kb(now, server);
-        let own = server.own_kb / link;
-        match server.link {
-            Some(r) => own.max(grown(r.used, server.changes.since(r.at) / link, others)),
-            None => own * f64::from(self.set.fronts),
-        }
+    /// A reading loses weight with age and leans towards what is usual; own changes since are added, and
+    /// growth counts for the other fronts too, by this front's part of the demand.
+    fn estimate(&self, now: Time, seen: Option<Reading>, usual: f64, own: f64, change: f64) -> f64 {
+        let Some(r) = seen else { return own.max(usual) };
+        let others = (r.used / (own - change).max(0.01)).clamp(1.0, f64::from(self.set.fronts));
+        let weight = (-seconds(now.saturating_sub(r.at)) / seconds(MEMORY)).exp();
+        let grown = r.used + if change > 0.0 { change * others } else { change };
+        own.max(usual + weight * (grown - usual))
     }
 
-    fn uplink_kb(&self, rack: u32) -> f64 {
-        self.set.uplink_kb * self.racks[rack as usize].factor.unwrap_or(1.0)
+    /// Use of a server's link: own rates in force or what was seen, if larger.
+    fn link_use(&self, now: Time, server: &Server) -> f64 {
+        let link = self.link_kb(now, server);
+        let change = server.link.map_or(0.0, |r| server.changes.since(r.at) / link);
+        self.estimate(now, server.link, self.usual.0, server.own_kb / link, change)
     }
 
     fn in_rack(&self, rack: u32) -> impl Iterator<Item = &Server> {
@@ -215,49 +227,62 @@
     }
 
     /// What the rack's servers are asked for together, by what is seen of their links.
-    fn rack_kb(&self, now: Time, rack: u32, others: f64) -> f64 {
-        self.in_rack(rack).map(|s| self.link_use(now, s, others) * self.link_kb(now, s)).sum()
+    fn rack_kb(&self, now: Time, rack: u32) -> f64 {
+        self.in_rack(rack).map(|s| self.link_use(now, s) * self.link_kb(now, s)).sum()
     }
 
-    fn uplink_use(&self, now: Time, rack: u32, others: f64) -> f64 {
-        let (state, uplink) = (&self.racks[rack as usize], self.uplink_kb(rack));
-        match state.uplink {
-            Some(r) => {
-                grown(r.used, state.changes.since(r.at) / uplink, others).max(self.own_rack_kb(rack) / uplink)
-            }
-            None => self.rack_kb(now, rack, others) / uplink,
+    fn uplink_use(&self, now: Time, rack: u32) -> f64 {
+        let (state, uplink) = (&self.racks[rack as usize], self.set.uplink_kb);
+        if !self.set.gauges.contains(&Gauge::Uplink) {
+            return self.rack_kb(now, rack) / uplink;
         }
+        let change = state.uplink.map_or(0.0, |r| state.changes.since(r.at) / uplink);
+        self.estimate(now, state.uplink, self.usual.1, self.own_rack_kb(rack) / uplink, change)
+    }
+
+    /// What is usual on a link and an uplink: the mean of what was seen, the fresh counting most; where
+    /// nothing was, own sessions stand for those of an average front.
+    fn learn_usual(&mut self, now: Time) {
+        let own = self.servers.values().map(|s| s.own_kb).sum::<f64>() * f64::from(self.set.fronts);
+        let mean = |seen: &mut dyn Iterator<Item = Reading>, all: f64| {
+            let guess = if own > 0.0 { (own / all).clamp(BLIND / 2.0, MARK) } else { BLIND };
+            let sum = seen.fold((guess * GUESS, GUESS), |sum, r| {
+                let weight = (-seconds(now.saturating_sub(r.at)) / seconds(WINDOW)).exp();
+                (sum.0 + weight * r.used, sum.1 + weight)
+            });
+            sum.0 / sum.1
+        };
+        let links = if self.set.all_links_kb > 0.0 { self.set.all_links_kb } else { f64::INFINITY };
+        self.usual = (
+            mean(&mut self.servers.values().filter_map(|s| s.link), links),
+            mean(
+                &mut self.racks.iter().filter_map(|r| r.uplink),
+                self.set.uplink_kb * self.racks.len() as f64,
+            ),
+        );
     }
 
     /// Use of the fuller of link and uplink with `kb` more.
-    fn strain(&self, now: Time, server: &Server, kb: f64, others: f64) -> f64 {
-        let link = self.link_use(now, server, others) + kb / self.link_kb(now, server);
-        link.max(self.uplink_use(now, server.rack, others) + kb / self.uplink_kb(server.rack))
+    fn strain(&self, now: Time, server: &Server, kb: f64) -> f64 {
+        let link = self.link_use(now, server) + kb / self.link_kb(now, server);
+        link.max(self.uplink_use(now, server.rack) + kb / self.set.uplink_kb)
     }
 
-    /// Takes in a load report; values out of range are passed over, noise is smoothed.
+    /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction.
     fn report(&mut self, now: Time, id: ServerId, values: &[f64]) {
         let Some(server) = self.servers.get(&id) else { return };
-        let rack = server.rack;
-        let (link, uplink) = (self.link_use(now, server, 1.0), self.uplink_use(now, rack, 1.0));
-        let known = (server.link.is_some(), self.racks[rack as usize].uplink.is_some());
-        let blend = |known: bool, was: f64, is: f64| if known { was + TRUST * (is - was) } else { is };
-        let gauges = self.set.gauges.clone();
-        for (gauge, value) in gauges.into_iter().zip(values.iter().copied()) {
-            if !value.is_finite() || value < 0.0 {
-                continue;
-            }
-            let Some(server) = self.servers.get_mut(&id) else { return };
-            let reading = |known, was| Some(Reading { used: blend(known, was, value.min(10.0)), at: now });
+        let (link, uplink) = (self.link_use(now, server), self.uplink_use(now, server.rack));
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        for (gauge, value) in self.set.gauges.iter().zip(values.iter().copied()) {
+            let reading = |was: f64| Some(Reading { used: was + TRUST * (value.min(10.0) - was), at: now });
             match gauge {
+                _ if !value.is_finite() || value < 0.0 => {}
                 Gauge::Streams => server.streams = Some(value),
-                Gauge::Link => server.link = reading(known.0, link),
-                // At its upper end the gauge tells no more than that the link is full.
-                Gauge::LinkCapped if value < DELIVERED || link < value => {
-                    server.link = reading(known.0, link)
-                }
-                Gauge::LinkCapped | Gauge::Other => {}
-                Gauge::Uplink => self.racks[rack as usize].uplink = reading(known.1, uplink),
+                // At its upper end this gauge tells no more than that the link is full.
+                Gauge::LinkCapped if value >= DELIVERED && server.link.is_some_and(|r| r.used > value) => {}
+                Gauge::Link | Gauge::LinkCapped => server.link = reading(link),
+                Gauge::Uplink => self.racks[server.rack as usize].uplink = reading(uplink),
+                Gauge::Other => {}
             }
         }
     }
@@ -268,9 +293,9 @@
         if !value.is_finite() || value < 0.0 {
             return;
         }
-        let started = self.sessions.get(&id).map_or(0, |s| s.since.max(s.changed));
-        // A note at set-up tells of now; later ones are late.
-        let at = if started + SECOND / 5 > now { now } else { ago(now, self.set.seen_after) };
+        // A note at set-up, with the start, tells of now; later ones are late.
+        let starts = self.sessions.get(&id).is_some_and(|s| s.since == now);
+        let at = if starts { now } else { ago(now, self.set.seen_after) };
         let rack = state.rack;
         match kind {
             NoteKind::Rung => {
@@ -279,56 +304,38 @@
                     self.resum(now, server);
                 }
             }
-            NoteKind::LinkUse => {
-                state.link = Some(Reading { used: value.min(10.0), at });
-                self.relieve(now, server, out);
-            }
+            NoteKind::LinkUse => state.link = Some(Reading { used: value.min(10.0), at }),
             NoteKind::UplinkUse => {
                 self.racks[rack as usize].uplink = Some(Reading { used: value.min(10.0), at });
-                self.relieve(now, server, out);
             }
-            NoteKind::Delivered => self.delivered(now, server, value.clamp(0.05, 1.0), out),
+            NoteKind::Delivered => return self.delivered(now, server, value.clamp(0.05, 1.0), out),
         }
+        self.relieve(now, server, out);
     }
 
-    /// Short delivery: is it the link or the rack's uplink? Where the link's use is known not to explain
-    /// it, the uplink does, and its capacity is learnt from what was asked and what came.
+    /// Short delivery: every front sheds its own part on that server, whether link or uplink is short, since
+    /// on a short uplink all servers of the rack tell so. Where the link's use does not explain it, the
+    /// rack is at the mark.
     fn delivered(&mut self, now: Time, id: ServerId, share: f64, out: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id) else { return };
-        let (at, rack, used) = (ago(now, self.set.seen_after), server.rack, 1.0 / share);
+        let (at, rack) = (ago(now, self.set.seen_after), server.rack);
         // The share is smoothed and late: what it tells of the time before the last relief has been answered.
         let relieved = server.relieved_at.max(self.racks[rack as usize].relieved_at);
-        if share >= DELIVERED || at < relieved.saturating_add(SECOND) {
+        if share >= DELIVERED || at < relieved.saturating_add(SMOOTH) {
             return;
         }
-        // Where probes are allowed, one answer tells which of the two is short, and by how much now.
-        if self.set.probes && self.probes > -PROBE_DEBT && server.link.is_none_or(|r| r.at + SECOND < now) {
-            self.probes -= 1.0;
-            self.servers.entry(id).and_modify(|s| s.short_at = Some(now));
-            return out.push(Action::Probe(id));
-        }
-        let since = server.changes.since(at) / self.link_kb(now, server);
-        let link = self.link_use(now, server, 1.0) - since;
-        let asked = self.rack_kb(now, rack, 1.0) - self.racks[rack as usize].changes.since(at);
-        let uplink = self.uplink_use(now, rack, 1.0);
-        let by_link = link * share.sqrt() >= 1.0 || (link >= uplink && server.link.is_some());
-        let (state, nominal) = (&mut self.racks[rack as usize], self.set.uplink_kb);
+        let (used, known) = (1.0 / share, server.link.is_some_and(|r| r.at + KNOWN > now));
+        let by_link = !known || self.link_use(now, server) >= MARK;
+        if !by_link {
+            self.racks[rack as usize].short_at = Some(now);
+        }
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.short_at = Some(now);
+        (server.short_at, server.relieved_at) = (Some(now), now);
         if by_link {
-            if server.link.is_none_or(|r| r.at < at) {
-                server.link = Some(Reading { used, at });
-            }
-        } else {
-            state.short_at = Some(now);
-            if let Some(r) = state.uplink {
-                state.uplink = Some(if r.at < at { Reading { used, at } } else { r });
-            } else {
-                state.factor = Some((asked * share / nominal).clamp(0.2, 2.0));
-            }
-            state.alert_until = state.alert_until.max(now + PERIOD);
+            server.link = Some(Reading { used, at });
         }
-        self.relieve(now, id, out);
+        let (kb, ids) = (server.own_kb * (1.0 - share), server.sessions.iter().copied().collect::<Vec<_>>());
+        self.shed(now, &ids, kb, out);
     }
 
     // ---- forecast, alert, moves ----------------------------------------------------------------
@@ -345,7 +352,9 @@
             count += (now.saturating_sub(s.since).min(WINDOW)) as f64 / WINDOW as f64;
         }
         let mean = titles.values().map(|(kb, n)| kb / n).sum::<f64>() / titles.len().max(1) as f64;
-        (mean * count / self.uplink_kb(rack)).max(self.uplink_use(now, rack, 1.0))
+        let uplink = self.set.uplink_kb;
+        let inferred = if mean > 0.0 { self.uplink_use(now, rack) * uplink / mean } else { 0.0 };
+        mean * count.max(inferred) / uplink
     }
 
     fn alert(&mut self, now: Time, rack: u32, out: &mut Vec<Action>) {
@@ -361,33 +370,33 @@
         }
         state.moved_at = Some(now);
         self.log(now, "alert", format!("rack {rack} alerted: forecast {forecast:.2} of its uplink"), out);
-        let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
-        let mut movable: Vec<_> = ids
-            .iter()
-            .filter_map(|id| self.sessions.get(id).map(|s| (*id, s)))
-            .filter(|(_, s)| s.phase == Phase::Playing && !s.moving && s.since + QUIET < now)
-            .filter(|(_, s)| !self.set.classes[s.class].live || self.set.join >= 1.0)
-            .map(|(id, s)| (rate(&self.set, s.class, s.rung), id))
-            .collect();
-        movable.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let most = (FRACTION * ids.len() as f64).ceil() as usize;
+        let mut ids = self.rack_sessions(rack);
+        let most = FRACTION * ids.len() as f64;
+        let most = most.floor() as usize + usize::from(self.chance(most.fract()));
+        self.shuffle(&mut ids);
         let mut used = BTreeSet::new();
-        let mut excess = (forecast - MARK).max(0.02) * self.uplink_kb(rack);
-        for (kb, id) in movable {
-            let Some(target) = self.target(now, id, kb, &used) else { continue };
-            if used.len() >= most || excess <= 0.0 {
-                break;
+        for id in ids {
+            if used.len() < most
+                && let Some(target) = self.target(now, id, &used)
+            {
+                used.insert(target);
+                self.shift(now, id, out);
             }
-            used.insert(target);
-            excess -= kb;
-            self.shift(now, id, out);
         }
     }
 
+    fn rack_sessions(&self, rack: u32) -> Vec<SessionId> {
+        self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect()
+    }
+
     /// A holder on an unalerted rack with room at the same rung, if moving there earns its price: the rate
     /// moved is worth what lowering others by as much would lose, for half a session on average.
-    fn target(&self, now: Time, id: SessionId, kb: f64, used: &BTreeSet<ServerId>) -> Option<ServerId> {
+    fn target(&self, now: Time, id: SessionId, used: &BTreeSet<ServerId>) -> Option<ServerId> {
         let s = self.sessions.get(&id)?;
+        let (kb, shared) = (rate(&self.set, s.class, s.rung), self.set.classes[s.class].live);
+        if s.phase != Phase::Playing || s.since + QUIET >= now || (shared && self.set.join < 1.0) {
+            return None;
+        }
         let best = self.set.classes.iter().map(|c| c.value).fold(0.0, f64::max);
         let gain = s.value / best * self.set.ladder[usize::from(s.rung)].worth / 2.0;
         if gain <= self.set.prices.moved {
@@ -401,7 +410,7 @@
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
                 && holds(&self.set, t, &s.wish)
-                && self.strain(now, t, kb, f64::from(self.set.fronts)) <= MARK
+                && self.strain(now, t, kb) <= MARK
         };
         self.servers.values().filter(fit).min_by_key(|t| t.sessions.len()).map(|t| t.entry.server)
     }
@@ -416,19 +425,23 @@
         (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / seconds(WINDOW)) / kb, kb)
     }
 
-    /// Lowers those sessions that lose least for each kB, until `kb` are free; never steps that lose
-    /// `limit` or more. Viewers who share a stream go down together.
-    fn shed(&mut self, now: Time, ids: &[SessionId], mut kb: f64, limit: f64, out: &mut Vec<Action>) -> bool {
-        let mut lowered: BTreeMap<SessionId, u8> = BTreeMap::new();
+    /// Lowers those sessions that lose least for each kB, until `kb` are free. Steps are whole and the own
+    /// part is not: the last is left to chance, so that in sum over all fronts it comes out even. Viewers
+    /// who share a stream go down together.
+    fn shed(&mut self, now: Time, ids: &[SessionId], mut kb: f64, out: &mut Vec<Action>) {
+        let mut lowered: BTreeSet<SessionId> = BTreeSet::new();
         while kb > 0.0 {
             let steps = ids.iter().filter_map(|id| {
                 let s = self.sessions.get(id).filter(|s| s.phase == Phase::Playing && !s.moving)?;
                 let above = s.rung > self.set.classes[s.class].floor;
                 let (slope, kb) = above.then(|| self.step(s, s.rung, 1.0))?;
-                (slope < limit).then_some((slope, kb, *id))
+                Some((slope, kb, *id))
             });
             let least = steps.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.total_cmp(&a.1)));
             let Some((_, freed, id)) = least else { break };
+            if kb < freed && !self.chance(kb / freed) {
+                break;
+            }
             let Some(s) = self.sessions.get(&id) else { break };
             let (server, key) = (s.server, (s.wish.title, s.class, s.rung));
             let live = self.set.classes[s.class].live;
@@ -438,26 +451,18 @@
                 let shares = live && s.server == server && (s.wish.title, s.class, s.rung) == key;
                 let may = *other == id || (shares && s.phase == Phase::Playing && !s.moving);
                 if may && s.rung > self.set.classes[s.class].floor {
-                    lowered.entry(*other).or_insert(s.rung);
+                    lowered.insert(*other);
                     s.rung -= 1;
                     kb -= freed * if first { 1.0 } else { self.set.join };
                     first = false;
                 }
             }
         }
-        // A newcomer for whom there is not enough changes nothing.
-        let give_back = kb > 0.0 && limit.is_finite();
-        for (id, before) in lowered {
-            let Some(s) = self.sessions.get_mut(&id) else { continue };
-            let (server, rung) = (s.server, s.rung);
-            if give_back {
-                s.rung = before;
-            } else {
-                self.set_rung(now, id, rung, out);
-                server.into_iter().for_each(|server| self.resum(now, server));
-            }
+        for id in lowered {
+            let Some((server, rung)) = self.sessions.get(&id).map(|s| (s.server, s.rung)) else { continue };
+            self.set_rung(now, id, rung, out);
+            server.into_iter().for_each(|server| self.resum(now, server));
         }
-        kb <= 0.0
     }
 
     /// Own part of the shortage on a server's link and on its rack's uplink is shed at once, in proportion:
@@ -467,90 +472,86 @@
         let rack = server.rack;
         // Only on what was seen, and since the last relief: before, the other fronts have answered it too.
         let fresh = |r: Option<Reading>, relieved| r.is_some_and(|r| r.at >= relieved);
-        let used = self.link_use(now, server, 1.0);
+        let used = self.link_use(now, server);
         if used > 1.0 / DELIVERED && fresh(server.link, server.relieved_at) {
             let kb = server.own_kb * (1.0 - FULL / used);
             let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
-            self.shed(now, &ids, kb, f64::INFINITY, out);
+            self.shed(now, &ids, kb, out);
         }
-        let used = self.uplink_use(now, rack, 1.0);
+        let used = self.uplink_use(now, rack);
         let state = &mut self.racks[rack as usize];
-        if used > 1.0 / DELIVERED && (fresh(state.uplink, state.relieved_at) || state.factor.is_some()) {
+        if used > 1.0 / DELIVERED && fresh(state.uplink, state.relieved_at) {
             (state.short_at, state.relieved_at) = (Some(now), now);
             self.alert(now, rack, out);
             let kb = self.own_rack_kb(rack) * (1.0 - FULL / used);
-            let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
-            self.shed(now, &ids, kb, f64::INFINITY, out);
+            let ids = self.rack_sessions(rack);
+            self.shed(now, &ids, kb, out);
         }
     }
 
-    /// After quiet the step that earns most for each kB is taken first, while it fits even if every other
-    /// front does the same.
+    /// After quiet a session rises a step towards its fair rung, by chance: if all sessions there were to
+    /// take theirs, what is left under the mark would do for so many of them.
     fn rise(&mut self, now: Time, out: &mut Vec<Action>) {
-        let fronts = f64::from(self.set.fronts);
         let quiet = |t: Option<Time>| t.is_none_or(|t| t + SETTLED <= now);
-        let mut steps: Vec<(f64, SessionId)> = Vec::new();
-        for (id, s) in &self.sessions {
+        let waited = |s: &Session| {
+            let wait = if s.rung < self.steps[s.class][0].0 { SETTLED } else { QUIET };
+            s.phase == Phase::Playing && !s.moving && s.rung < s.top && s.changed.max(s.weighed) + wait <= now
+        };
+        let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| waited(s)).map(|(id, _)| *id).collect();
+        let sample = if ids.is_empty() { return } else { self.sample(None) };
+        for id in ids {
+            let Some(s) = self.sessions.get(&id) else { continue };
             let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
             let rack = &self.racks[server.rack as usize];
-            let calm = quiet(server.short_at) && quiet(rack.short_at) && rack.alert_until <= now;
-            if s.phase != Phase::Playing
-                || s.moving
-                || s.rung >= s.top
-                || !calm
-                || s.changed + if s.rung < self.steps[s.class][0].0 { SETTLED } else { QUIET } > now
-            {
+            if !quiet(server.short_at) || !quiet(rack.short_at) || rack.alert_until > now {
                 continue;
             }
+            let (at, rung, held) = (server.entry.server, s.rung + 1, rate(&self.set, s.class, s.rung));
+            let kb = (self.added_kb(server, s, rung) - held).max(0.0);
+            let used = self.strain(now, server, 0.0);
+            let part = (MARK - used) / (used * kb / held).max(1e-6);
             // A rise may have to be taken back, so that it must earn two switches.
-            steps.push((self.step(s, s.rung + 1, -2.0).0, *id));
-        }
-        steps.retain(|(gain, _)| *gain > 0.0);
-        steps.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for (_, id) in steps {
-            let Some(s) = self.sessions.get(&id) else { continue };
-            let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
-            let kb = (self.added_kb(server, s, s.rung + 1) - rate(&self.set, s.class, s.rung)).max(0.0);
-            if self.strain(now, server, kb * fronts, fronts) <= MARK {
-                let (server, rung) = (server.entry.server, s.rung + 1);
+            let earns = self.step(s, rung, -2.0).0 > 0.0 && rung <= self.fair_rung(&sample, used, s);
+            let fits = earns && self.strain(now, server, kb) <= MARK;
+            self.sessions.entry(id).and_modify(|s| s.weighed = now);
+            if fits && self.chance(part) {
                 self.set_rung(now, id, rung, out);
-                self.resum(now, server);
+                self.resum(now, at);
             }
         }
     }
 
     // ---- admission -----------------------------------------------------------------------------
 
-    /// Worth for each kB of the first step that no longer fits if own sessions and a newcomer share
-    /// `room` by worth; 0 if all fit. Steps below that price are beyond the fair rung.
-    fn price_of_room(&self, ids: &mut dyn Iterator<Item = &SessionId>, newcomer: &Session, room: f64) -> f64 {
-        let mut steps: Vec<(f64, f64)> = Vec::new();
-        for s in ids.filter_map(|id| self.sessions.get(id)).chain(std::iter::once(newcomer)) {
+    /// What this front holds stands for what all fronts hold: the worthwhile steps of its sessions, and of a
+    /// newcomer, best for each kB first, and the rates that they have together. A newcomer counts for the
+    /// mean, and among few sessions the paper's R, the mean of all rungs on offer, counts as one more.
+    fn sample(&self, newcomer: Option<&Session>) -> (Vec<(f64, f64)>, f64) {
+        let on_offer = self.set.ladder.iter().map(|r| r.kb).sum::<f64>() / self.set.ladder.len() as f64;
+        let (mut steps, mut kb, mut n): (Vec<(f64, f64)>, _, _) = (Vec::new(), on_offer, 1.0);
+        for s in self.sessions.values().filter(|s| s.server.is_some()).chain(newcomer) {
             let within = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
             steps.extend(within.map(|(_, kb, worth)| (s.value * worth / kb, *kb)));
-        }
-        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut used = 0.0;
-        for (slope, kb) in steps {
-            used += kb;
-            if used > room {
-                return slope;
+            if s.server.is_some() {
+                (kb, n) = (kb + rate(&self.set, s.class, s.rung), n + 1.0);
             }
         }
-        0.0
-    }
-
-    /// The highest rung that all own sessions on this link and uplink could have alike.
-    fn fair_rung(&self, now: Time, server: &Server, s: &Session) -> u8 {
-        // Each front takes an even part for its own: what it holds now may be more only for the moment.
-        let part = MARK / f64::from(self.set.fronts);
-        let (link, uplink) = (part * self.link_kb(now, server), part * self.uplink_kb(server.rack));
-        let mut rack = self.in_rack(server.rack).flat_map(|s| &s.sessions);
-        let on_link = self.price_of_room(&mut server.sessions.iter(), s, link);
-        let price = on_link.max(self.price_of_room(&mut rack, s, uplink));
-        let steps = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
-        let fair = steps.take_while(|(_, kb, worth)| s.value * worth / kb >= price).last();
+        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
+        (steps, kb / n * if newcomer.is_some() { n } else { n - 1.0 })
+    }
+
+    /// The highest rung that sessions could have alike where so much is in use: with `R x N` as seen there,
+    /// all rates could grow, or must fall, by mark over use.
+    fn fair_rung(&self, sample: &(Vec<(f64, f64)>, f64), used: f64, s: &Session) -> u8 {
+        let mut room = MARK / used.max(0.05) * sample.1;
+        let over = sample.0.iter().find(|(_, kb)| {
+            room -= kb;
+            room < 0.0
+        });
+        let price = over.map_or(0.0, |(slope, _)| *slope);
+        let own = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
+        let fair = own.take_while(|(_, kb, worth)| s.value * worth / kb >= price).last();
         fair.map_or(self.set.classes[s.class].floor, |(rung, ..)| *rung)
     }
 
@@ -558,68 +559,42 @@
         server.entry.state == ServerState::Ready && server.barred_until <= now && !server.lost
     }
 
-    /// Finds a server and a rung, makes room if that is worth it, or gives the final answer at once.
+    /// Finds a server and a rung, or gives the final answer at once.
     fn place(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get(&id) else { return };
         let class = &self.set.classes[s.class];
-        let mut ranked: Vec<(Rank, ServerId, u8, bool)> = Vec::new();
-        for server in self.servers.values() {
+        let mut ranked: Vec<(Rank, ServerId, u8)> = Vec::new();
+        let sample = self.sample(Some(s));
+        for server in self.servers.values().filter(|h| holds(&self.set, h, &s.wish)) {
+            let own = server.sessions.len() as f64;
             let places = streams(&self.set, server);
-            let full = server.streams.unwrap_or(0.0).max(server.sessions.len() as f64) >= places;
+            let full = server.streams.unwrap_or(0.0).max(own) >= places;
             if s.shun.contains(&server.entry.server) || full || !self.may_send(now, id, server) {
                 continue;
             }
-            let fair = self.fair_rung(now, server, s).min(s.cap);
-            let with = |r: u8, others| self.strain(now, server, self.added_kb(server, s, r), others);
-            // Nothing fits: the first worthwhile step, if lowering better-fed sessions makes the room.
-            let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r).min(s.top);
-            let fitting = (class.floor..=fair.max(class.floor))
-                .rev()
-                .find(|r| with(*r, f64::from(self.set.fronts)) <= MARK);
-            let rung = fitting.unwrap_or(entry);
+            let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r));
+            let fair = self.fair_rung(&sample, self.strain(now, server, 0.0), s).min(s.cap);
+            // The first worthwhile rung may go past the mark: the others there will make room.
+            let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r);
+            let fits = |r: &u8| with(*r) <= if *r <= entry { ENTRY } else { MARK };
+            let Some(rung) = (class.floor..=fair.max(class.floor)).rev().find(fits) else { continue };
             let alerted = self.racks[server.rack as usize].alert_until > now;
             let sound = self.sound(now, server) && (class.repeat != Repeat::Never || server.strikes == 0);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
             let cold = if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
-            // The fewest own sessions; where nothing fits, the least strain.
-            let (worth, burden) = match fitting {
-                Some(r) => (self.set.ladder[usize::from(r)].worth, server.sessions.len() as f64 / places),
-                None => (0.0, with(rung, 1.0)),
-            };
+            let worth = self.set.ladder[usize::from(rung)].worth - crossing;
             // Departure: viewers of a live title gather where its stream of that rung already plays.
-            let joins = fitting.is_some_and(|r| self.added_kb(server, s, r) < rate(&self.set, s.class, r));
-            let rank = (
-                sound,
-                !alerted && fitting.is_some(),
-                worth - crossing,
-                if joins { 1.0 } else { -burden - cold },
-            );
-            ranked.push((rank, server.entry.server, rung, fitting.is_some()));
+            let joins = self.added_kb(server, s, rung) < rate(&self.set, s.class, rung);
+            // The fewest sessions for its size, own and inferred.
+            let burden = if joins { -1.0 } else { own / places + with(class.floor) + cold };
+            ranked.push(((sound, !alerted, worth, -burden), server.entry.server, rung));
         }
+        // Fronts that know nothing of the holders spread over them.
+        self.shuffle(&mut ranked);
         ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, server, rung, fits) in ranked {
-            if (fits || self.make_room(now, id, server, rung, out)) && self.send(now, id, server, rung, out) {
-                return;
-            }
-        }
-        self.give_up(now, id, out);
-    }
-
-    /// Lowers own sessions whose last step earns less for each kB than the newcomer's first.
-    fn make_room(&mut self, now: Time, id: SessionId, at: ServerId, rung: u8, out: &mut Vec<Action>) -> bool {
-        let (Some(s), Some(server)) = (self.sessions.get(&id), self.servers.get(&at)) else { return false };
-        let kb = self.added_kb(server, s, rung);
-        let limit =
-            ROOM * s.value * self.set.ladder[usize::from(rung)].worth / rate(&self.set, s.class, rung);
-        let (link, uplink, rack) = (self.link_kb(now, server), self.uplink_kb(server.rack), server.rack);
-        let on_link = kb - (MARK - self.link_use(now, server, 1.0)) * link;
-        let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
-        if !self.shed(now, &ids, on_link, limit, out) {
-            return false;
+        if !ranked.into_iter().any(|(_, server, rung)| self.send(now, id, server, rung, out)) {
+            self.give_up(now, id, out);
         }
-        let on_uplink = kb - (MARK - self.uplink_use(now, rack, 1.0)) * uplink;
-        let ids: Vec<SessionId> = self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect();
-        self.shed(now, &ids, on_uplink, limit, out)
     }
 
     // ---- the life of a session -----------------------------------------------------------------
@@ -631,16 +606,7 @@
         // A missing or senseless top counts as the class's floor.
         let top = wish.top.min(ladder_top).max(0.0) as u8;
         let top = top.min(c.top).max(c.floor);
-        let mut value = c.value;
-        if let Some(seen) = self.tenants.get_mut(usize::from(wish.tenant.0)) {
-            seen.push(now, 1.0, WINDOW);
-            let rate = seen.since(ago(now, WINDOW)) / seconds(WINDOW) * f64::from(self.set.fronts);
-            let quota = self.set.tenants[usize::from(wish.tenant.0)].quota_per_s;
-            if quota > 0.0 && rate > quota {
-                value *= self.set.over_share_worth.clamp(0.01, 1.0);
-            }
-        }
-        self.sessions.insert(id, Session::new(now, wish, class, c.floor, top, value));
+        self.sessions.insert(id, Session::new(now, wish, class, c.floor, top, c.value));
         self.sessions.get_mut(&id)
     }
 
@@ -653,8 +619,9 @@
             s.cap = rung.min(s.top);
         }
         out.push(Action::SetTimer(wish.patience, id.0));
-        self.probe(now, &wish, out);
-        self.place(now, id, out);
+        if !self.ask_holders(now, id, out) {
+            self.place(now, id, out);
+        }
     }
 
     fn under_way(&mut self, now: Time, id: SessionId, wish: Wish, server: ServerId) {
@@ -665,6 +632,7 @@
             state.sessions.insert(id);
         }
         self.resum(now, server);
+        self.learn_usual(now);
     }
 
     fn started(&mut self, now: Time, id: SessionId, server: ServerId) {
@@ -732,36 +700,78 @@
         self.sessions.remove(&id);
     }
 
-    fn probe(&mut self, now: Time, wish: &Wish, out: &mut Vec<Action>) {
-        if !self.set.probes {
-            return;
-        }
-        self.probes = (self.probes + PROBE_SPEND / self.set.prices.probe.max(PROBE_SPEND / 2.0)).min(5.0);
-        let oldest = self
-            .servers
-            .values()
-            .filter(|s| self.sound(now, s) && holds(&self.set, s, wish))
-            .min_by_key(|s| s.link.map_or(0, |r| r.at));
-        if let Some(server) = oldest.map(|s| s.entry.server).filter(|_| self.probes >= 1.0) {
-            self.probes -= 1.0;
-            out.push(Action::Probe(server));
+    /// Where probes are allowed, the holders of which nothing fresh is known are asked before a session is
+    /// placed, as far as what probes may cost allows; true if an answer is to be waited for.
+    fn ask_holders(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) -> bool {
+        let Some(s) = self.sessions.get(&id).filter(|_| self.set.probes) else { return false };
+        self.probes = (self.probes + PROBE_SPEND / self.set.prices.probe.max(PROBE_SPEND / 4.0)).min(8.0);
+        let stale = |s: &Server| s.link.is_none_or(|r| r.at + FRESH < now);
+        let holders = self.servers.values().filter(|h| holds(&self.set, h, &s.wish));
+        let mut asked: Vec<_> = holders
+            .filter(|h| stale(h) && self.sound(now, h) && self.may_send(now, id, h))
+            .map(|h| (h.link.map_or(0, |r| r.at), h.entry.server))
+            .collect();
+        self.shuffle(&mut asked);
+        asked.sort_by_key(|(at, _)| *at);
+        asked.truncate(self.probes.max(0.0) as usize);
+        self.probes -= asked.len() as f64;
+        out.extend(asked.iter().map(|(_, server)| Action::Probe(*server)));
+        let wait = !asked.is_empty();
+        self.sessions.entry(id).and_modify(|s| s.asked = asked.into_iter().map(|(_, h)| h).collect());
+        wait
+    }
+
+    /// A probe's answer, or its failure: requests that waited for nothing else are placed.
+    fn probed(&mut self, now: Time, server: ServerId, report: Option<Vec<f64>>, out: &mut Vec<Action>) {
+        match report {
+            Some(values) => {
+                self.report(now, server, &values);
+                self.relieve(now, server, out);
+            }
+            None => {
+                self.servers.entry(server).and_modify(|s| s.barred_until = s.barred_until.max(now + BAR));
+            }
         }
+        let waiting = self.sessions.iter_mut();
+        let heard =
+            waiting.filter_map(|(id, s)| (s.asked.remove(&server) && s.asked.is_empty()).then_some(*id));
+        let ready: Vec<SessionId> = heard.collect();
+        ready.into_iter().for_each(|id| self.place(now, id, out));
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TICK));
         self.moved.retain(|_, (at, ..)| *at + WINDOW > now);
+        self.learn_usual(now);
+        let late = |s: &Session| !s.asked.is_empty() && s.since + PERIOD / 2 < now;
+        let late: Vec<_> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
+        for id in late {
+            self.sessions.entry(id).and_modify(|s| s.asked.clear());
+            self.place(now, id, out);
+        }
         for rack in 0..self.set.racks {
             self.alert(now, rack, out);
-            let state = &mut self.racks[rack as usize];
-            // A learnt capacity is forgotten slowly once the sign has ended.
-            if let Some(factor) = state.factor.filter(|_| state.short_at.is_none_or(|t| t + WINDOW < now)) {
-                state.factor = Some(factor + (1.0 - factor) * seconds(PERIOD) / seconds(WINDOW));
-            }
         }
         self.rise(now, out);
     }
 
+    /// The next number between 0 and 1 from the instance's own seed.
+    fn draw(&mut self) -> f64 {
+        self.dice = self.dice.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        (scatter(self.dice) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn shuffle<T>(&mut self, items: &mut [T]) {
+        for last in (1..items.len()).rev() {
+            let other = (self.draw() * (last + 1) as f64) as usize;
+            items.swap(last, other.min(last));
+        }
+    }
+
+    fn chance(&mut self, part: f64) -> bool {
+        self.draw() < part
+    }
+
     fn log(&mut self, now: Time, kind: &'static str, line: String, out: &mut Vec<Action>) {
         if self.logged.get(kind).is_none_or(|t| t + ALERT <= now) {
             self.logged.insert(kind, now);
@@ -896,8 +906,3 @@
         self.forget(now, id);
     }
 }
-
-/// A use with own changes since; growth counts for the other fronts too.
-fn grown(used: f64, change: f64, others: f64) -> f64 {
-    (used + if change > 0.0 { change * others } else { change }).max(0.0)
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,8 @@
     pub rung: u8,
     pub phase: Phase,
     pub server: Option<ServerId>,
+    /// Holders that were probed for it and have not answered.
+    pub asked: BTreeSet<ServerId>,
     /// Servers not to be tried: those that failed it, and the one it was moved from.
     pub shun: BTreeSet<ServerId>,
     /// At the same rung as before a move, at most.
@@ -30,6 +32,8 @@
     pub maybe_ran: bool,
     pub since: Time,
     pub changed: Time,
+    /// When it was last weighed whether its rung should rise.
+    pub weighed: Time,
     pub moving: bool,
 }
 
@@ -64,8 +68,6 @@
 pub struct Rack {
     pub changes: SlidingSum,
     pub uplink: Option<Reading>,
-    /// Learnt capacity over the mean uplink.
-    pub factor: Option<f64>,
     pub alert_until: Time,
     pub moved_at: Option<Time>,
     pub short_at: Option<Time>,
@@ -123,6 +125,7 @@
             rung: floor,
             phase: Phase::Waiting,
             server: None,
+            asked: BTreeSet::new(),
             shun: BTreeSet::new(),
             cap: top,
             deadline: now.saturating_add(wish.patience),
@@ -131,6 +134,7 @@
             maybe_ran: false,
             since: now,
             changed: now,
+            weighed: now,
             moving: false,
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -157,3 +157,12 @@
 pub fn moves(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Move(_))).count()
 }
+
+pub fn probes(actions: &[Action]) -> Vec<ServerId> {
+    actions.iter().filter_map(|a| if let Action::Probe(server) = a { Some(*server) } else { None }).collect()
+}
+
+/// Sessions whose rung was set.
+pub fn lowered(actions: &[Action]) -> Vec<u64> {
+    actions.iter().filter_map(|a| if let Action::SetRung(id, _) = a { Some(id.0) } else { None }).collect()
+}
