Cold servers by lot; room made by whoever refuses; strikes and shared steps down gone

Each front frees as much as the refused viewer's first rung on its own sessions wherever links are past the mark and less is lost than the viewer earns; as all do, room comes about. Cold servers: spacing by each front's own wait kept out nearly everybody for the whole warm-up. Test: 80 fronts asked every 50 ms to 5 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,8 @@
 const MARK: f64 = 0.8;
 /// To what a shortage is shed: less than the excess leaves it, more costs switches that rises take back.
 const FULL: f64 = 1.0;
+/// Part of a refused viewer's worth that making room may lose.
+const ROOM: f64 = 0.5;
 /// Up to here a newcomer may come at its first worthwhile rung: short of a shortage, so that it costs nobody.
 const ENTRY: f64 = 0.9;
 /// Time between two looks at the racks.
@@ -35,9 +37,8 @@
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
 const TRUST: f64 = 0.8;
-/// A first failure bars a server so long; each further one doubles it, up to `MAX_STRIKES` times.
+/// A failure bars a server so long: it is passed over while another holder is sound.
 const BAR: Time = 2 * SECOND;
-const MAX_STRIKES: u32 = 4;
 /// Part of a class's aim that an attempt may take while another can follow.
 const TRY_SHARE: f64 = 0.5;
 /// Part of the cold budget that a front uses: set-ups differ in work.
@@ -73,7 +74,8 @@
     taken: SlidingSum,
     further: SlidingSum,
     probes: f64,
-    ticking: bool,
+    /// When the first event came.
+    began: Option<Time>,
     random: u64,
     dice: u64,
     /// Usual use of a link and of an uplink.
@@ -98,7 +100,7 @@
             taken: SlidingSum::default(),
             further: SlidingSum::default(),
             probes: 0.0,
-            ticking: false,
+            began: None,
             random: scatter(seed),
             dice: scatter(seed) | 1,
             usual: (BLIND, BLIND),
@@ -109,16 +111,16 @@
 
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
-        if !self.ticking {
-            self.ticking = true;
+        if self.began.is_none() {
+            self.began = Some(now);
             out.push(Action::SetTimer(PERIOD / 2 + self.random % (PERIOD / 2), TICK));
             if self.set.list_on_request {
                 out.push(Action::WatchList);
             }
         }
         match event {
-            Event::ListFull(entries) => self.list(now, entries, true),
-            Event::ListChanged(entries) => self.list(now, entries, false),
+            Event::ListFull(entries) => self.list(entries, true),
+            Event::ListChanged(entries) => self.list(entries, false),
             Event::ListFailed if self.set.list_on_request => out.push(Action::WatchList),
             Event::Request(id, wish) => self.request(now, id, wish, out),
             Event::UnderWay(id, wish, server) => self.under_way(now, id, wish, server),
@@ -143,7 +145,7 @@
 
     // ---- the list of servers -------------------------------------------------------------------
 
-    fn list(&mut self, now: Time, entries: Vec<ServerEntry>, full: bool) {
+    fn list(&mut self, entries: Vec<ServerEntry>, full: bool) {
         if full {
             let named: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
             for (id, server) in &mut self.servers {
@@ -154,11 +156,10 @@
         }
         for entry in entries {
             let rack = entry.cell % self.set.racks;
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, rack, now));
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, rack));
             if entry.started > server.entry.started {
                 server.cold_from = entry.started;
-                server.heard_at = now;
-                (server.lost, server.strikes, server.barred_until, server.link) = (false, 0, 0, None);
+                (server.lost, server.barred_until, server.link) = (false, 0, None);
             }
             (server.entry, server.rack) = (entry, rack);
         }
@@ -335,7 +336,7 @@
             server.link = Some(Reading { used, at });
         }
         let (kb, ids) = (server.own_kb * (1.0 - share), server.sessions.iter().copied().collect::<Vec<_>>());
-        self.shed(now, &ids, kb, out);
+        self.shed(now, &ids, kb, f64::INFINITY, out);
     }
 
     // ---- forecast, alert, moves ----------------------------------------------------------------
@@ -425,43 +426,32 @@
         (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / seconds(WINDOW)) / kb, kb)
     }
 
-    /// Lowers those sessions that lose least for each kB, until `kb` are free. Steps are whole and the own
-    /// part is not: the last is left to chance, so that in sum over all fronts it comes out even. Viewers
-    /// who share a stream go down together.
-    fn shed(&mut self, now: Time, ids: &[SessionId], mut kb: f64, out: &mut Vec<Action>) {
-        let mut lowered: BTreeSet<SessionId> = BTreeSet::new();
+    /// Lowers those sessions that lose least for each kB, and less than `limit`, until `kb` are free. Steps
+    /// are whole and the own part is not: the last is left to chance, so that in sum over all fronts it
+    /// comes out even. One who shares a stream frees what that viewer alone adds.
+    fn shed(&mut self, now: Time, ids: &[SessionId], mut kb: f64, limit: f64, out: &mut Vec<Action>) {
+        let mut lowered: BTreeMap<SessionId, u8> = BTreeMap::new();
         while kb > 0.0 {
             let steps = ids.iter().filter_map(|id| {
                 let s = self.sessions.get(id).filter(|s| s.phase == Phase::Playing && !s.moving)?;
-                let above = s.rung > self.set.classes[s.class].floor;
-                let (slope, kb) = above.then(|| self.step(s, s.rung, 1.0))?;
-                Some((slope, kb, *id))
+                let rung = lowered.get(id).copied().unwrap_or(s.rung);
+                let (slope, kb) =
+                    (rung > self.set.classes[s.class].floor).then(|| self.step(s, rung, 1.0))?;
+                (slope < limit).then_some((slope, kb, *id, rung - 1))
             });
             let least = steps.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.total_cmp(&a.1)));
-            let Some((_, freed, id)) = least else { break };
+            let Some((_, freed, id, rung)) = least else { break };
             if kb < freed && !self.chance(kb / freed) {
                 break;
             }
-            let Some(s) = self.sessions.get(&id) else { break };
-            let (server, key) = (s.server, (s.wish.title, s.class, s.rung));
-            let live = self.set.classes[s.class].live;
-            let mut first = true;
-            for other in ids {
-                let Some(s) = self.sessions.get_mut(other) else { continue };
-                let shares = live && s.server == server && (s.wish.title, s.class, s.rung) == key;
-                let may = *other == id || (shares && s.phase == Phase::Playing && !s.moving);
-                if may && s.rung > self.set.classes[s.class].floor {
-                    lowered.insert(*other);
-                    s.rung -= 1;
-                    kb -= freed * if first { 1.0 } else { self.set.join };
-                    first = false;
-                }
-            }
+            lowered.insert(id, rung);
+            kb -= freed;
         }
-        for id in lowered {
-            let Some((server, rung)) = self.sessions.get(&id).map(|s| (s.server, s.rung)) else { continue };
+        for (id, rung) in lowered {
             self.set_rung(now, id, rung, out);
-            server.into_iter().for_each(|server| self.resum(now, server));
+            if let Some(server) = self.sessions.get(&id).and_then(|s| s.server) {
+                self.resum(now, server);
+            }
         }
     }
 
@@ -477,7 +467,7 @@
             let kb = server.own_kb * (1.0 - FULL / used);
             let ids: Vec<SessionId> = server.sessions.iter().copied().collect();
             self.servers.entry(id).and_modify(|s| (s.short_at, s.relieved_at) = (Some(now), now));
-            self.shed(now, &ids, kb, out);
+            self.shed(now, &ids, kb, f64::INFINITY, out);
         }
         let used = self.uplink_use(now, rack);
         let state = &mut self.racks[rack as usize];
@@ -486,7 +476,7 @@
             self.alert(now, rack, out);
             let kb = self.own_rack_kb(rack) * (1.0 - FULL / used);
             let ids = self.rack_sessions(rack);
-            self.shed(now, &ids, kb, out);
+            self.shed(now, &ids, kb, f64::INFINITY, out);
         }
     }
 
@@ -579,7 +569,7 @@
             let fits = |r: &u8| with(*r) <= if *r <= entry { ENTRY } else { MARK };
             let Some(rung) = (class.floor..=fair.max(class.floor)).rev().find(fits) else { continue };
             let alerted = self.racks[server.rack as usize].alert_until > now;
-            let sound = self.sound(now, server) && (class.repeat != Repeat::Never || server.strikes == 0);
+            let sound = self.sound(now, server);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
             let cold = if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
             let worth = self.set.ladder[usize::from(rung)].worth - crossing;
@@ -593,10 +583,24 @@
         self.shuffle(&mut ranked);
         ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
         if !ranked.into_iter().any(|(_, server, rung)| self.send(now, id, server, rung, out)) {
+            self.make_room(now, id, out);
             self.give_up(now, id, out);
         }
     }
 
+    /// A viewer was turned away while others play above the lowest rungs: this front frees as much as that
+    /// viewer's first rung on links and uplinks past the mark, from own sessions that lose less for each kB
+    /// than the viewer would earn. As all fronts do so, room comes about where it is short, for the next try.
+    fn make_room(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let Some((rung, kb, worth)) = self.steps[s.class].first().copied() else { return };
+        let limit = ROOM * s.value * worth / kb;
+        let tight = |h: &&Server| !h.sessions.is_empty() && self.strain(now, h, 0.0) >= MARK;
+        let servers = self.servers.values().filter(tight);
+        let ids: Vec<_> = servers.flat_map(|h| h.sessions.iter().copied()).collect();
+        self.shed(now, &ids, rate(&self.set, s.class, rung), limit, out);
+    }
+
     // ---- the life of a session -----------------------------------------------------------------
 
     fn admit(&mut self, now: Time, id: SessionId, wish: Wish) -> Option<&mut Session> {
@@ -618,6 +622,9 @@
             s.shun.insert(left);
             s.cap = rung.min(s.top);
         }
+        for server in self.servers.values_mut().filter(|h| holds(&self.set, h, &wish)) {
+            server.wanted.push(now, 1.0, WINDOW);
+        }
         out.push(Action::SetTimer(wish.patience, id.0));
         if !self.ask_holders(now, id, out) {
             self.place(now, id, out);
@@ -640,9 +647,8 @@
             (s.phase, s.since, s.changed) = (Phase::Playing, now, now);
         }
         if let Some(state) = self.servers.get_mut(&server) {
-            state.strikes /= 2;
             if state.lost {
-                (state.lost, state.cold_from, state.heard_at) = (false, Some(now), now);
+                (state.lost, state.cold_from) = (false, Some(now));
             }
         }
     }
@@ -656,8 +662,8 @@
         self.place(now, id, out);
     }
 
-    /// One graded suspicion for every sign that a server is unwell: errors, silence, refused or broken
-    /// connections. It ends by time and by success. A server whose connections break is held to be lost
+    /// One suspicion for every sign that a server is unwell: errors, silence, refused or broken
+    /// connections. It ends by time. A server whose connections break is held to be lost
     /// and to come back cold, whatever the list says.
     fn symptom(
         &mut self,
@@ -680,10 +686,8 @@
             _ => return,
         }
         if state.barred_until <= now {
-            state.strikes = (state.strikes + 1).min(MAX_STRIKES);
-            state.barred_until = now + (BAR << (state.strikes - 1));
-            let line = format!("server {} barred, strike {}: {outcome:?}", server.0, state.strikes);
-            self.log(now, "barred", line, out);
+            state.barred_until = now + BAR;
+            self.log(now, "barred", format!("server {} barred: {outcome:?}", server.0), out);
         }
     }
 
@@ -758,7 +762,7 @@
     /// The next number between 0 and 1 from the instance's own seed.
     fn draw(&mut self) -> f64 {
         self.dice = self.dice.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
-        (scatter(self.dice) >> 11) as f64 / (1u64 << 53) as f64
+        unit(scatter(self.dice))
     }
 
     fn shuffle<T>(&mut self, items: &mut [T]) {
@@ -814,23 +818,24 @@
             && (s.attempts == 0 || self.within_budget(now))
     }
 
-    /// Rule 4: a front alone keeps its part of what a cold server stands in any window. Where that part
-    /// is under one set-up a window, set-ups are spaced, after a wait of the front's own.
+    /// Rule 4: a front alone keeps its part of what a cold server stands in any window. Where that part is
+    /// under one set-up, each of many fronts is asked for the server only now and then: in so many windows,
+    /// by lot, one of these requests goes there that the sum keeps to the budget. A title in demand, or
+    /// viewers who come again and again, show in how often the server was wanted of late.
     fn cold_pace(&self, now: Time, server: &Server) -> bool {
-        let warmth = self.warmth(now, server);
+        let (warmth, r) = (self.warmth(now, server), &self.set.rules);
         if warmth >= 1.0 {
             return true;
         }
-        let r = &self.set.rules;
         let pace = streams(&self.set, server) / seconds(r.cold).max(0.1) * warmth * COLD_SHARE;
         let part = pace * r.fall_multiple * seconds(r.fall_window) * COLD_SHARE
             / f64::from(self.set.fronts).max(1.0);
-        if part >= 1.0 {
-            return server.sends.since(ago(now, r.fall_window)) + 1.0 <= part;
-        }
-        let gap = (r.fall_window as f64 / part.max(0.01)) as Time;
-        let own_wait = (gap as f64 * (self.random >> 40) as f64 / (1u64 << 24) as f64) as Time;
-        server.sends.since(ago(now, gap)) < 1.0 && (server.lost || now >= server.heard_at + own_wait)
+        let since = ago(now, WINDOW).max(self.began.unwrap_or(now));
+        let wanted = server.wanted.since(since).max(1.0) / seconds(now - since).max(1.0);
+        let draw = scatter(now / r.fall_window.max(1) ^ scatter(u64::from(server.entry.server.0)));
+        let lot = scatter(self.random ^ draw);
+        server.sends.since(ago(now, r.fall_window)) + 1.0 <= part.max(1.0)
+            && (part >= 1.0 || unit(lot) * (wanted * seconds(r.fall_window)).min(1.0) <= part)
     }
 
     /// Share of its capacity that a server has reached; a lost one is held to be at its start.
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,12 +55,12 @@
     pub short_at: Option<Time>,
     /// When rungs were last lowered for it.
     pub relieved_at: Time,
-    pub strikes: u32,
     pub barred_until: Time,
     pub cold_from: Option<Time>,
     /// Lost, and not yet seen to run again: it will be cold from a moment still unknown.
     pub lost: bool,
-    pub heard_at: Time,
+    /// Requests for a title that it holds.
+    pub wanted: SlidingSum,
     pub sends: SlidingSum,
 }
 
@@ -93,7 +93,7 @@
 
 impl Server {
     /// A server as the list names it, of which nothing else is known.
-    pub fn new(entry: ServerEntry, rack: u32, now: Time) -> Self {
+    pub fn new(entry: ServerEntry, rack: u32) -> Self {
         Self {
             entry,
             rack,
@@ -104,11 +104,10 @@
             streams: None,
             short_at: None,
             relieved_at: 0,
-            strikes: 0,
             barred_until: 0,
             cold_from: entry.started,
             lost: false,
-            heard_at: now,
+            wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
         }
     }
@@ -140,6 +139,11 @@
     }
 }
 
+/// A number between 0 and 1 of the upper bits.
+pub fn unit(bits: u64) -> f64 {
+    (bits >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Spreads a seed over all its bits.
 pub fn scatter(seed: u64) -> u64 {
     let x = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -155,3 +155,38 @@
         assert_eq!(placed(&f.end(2, at, Outcome::Full, false)).is_some(), allowed);
     }
 }
+
+/// Set-ups sent to a server just started, by many fronts that are asked for it every `gap`.
+fn cold_sends(fronts: u64, gap: Time) -> Vec<Time> {
+    let settings = Settings { fronts: fronts as u32, ..settings() };
+    let fresh = ServerEntry { started: Some(100 * S), ..server(1, 0) };
+    let mut sends = Vec::new();
+    for seed in 0..fronts {
+        let controller = Controller::new(settings.clone(), 31 * seed).expect("settings that agree");
+        let mut f = Front { controller, now: 100 * S };
+        f.tell(Event::ListFull(vec![fresh]));
+        for n in 0..10 * S / gap {
+            f.now = 100 * S + n * gap + gap * seed / fronts;
+            if let Some((at, _)) = f.ask(n, wish(n, 0.0, 1.0)) {
+                sends.push(f.now);
+                f.end(n, at, Outcome::Served, true);
+            }
+        }
+    }
+    sends.sort_unstable();
+    sends
+}
+
+#[test]
+fn many_fronts_together_keep_to_what_a_cold_server_stands_and_yet_use_it() {
+    for gap in [50 * MS, S, 5 * S] {
+        let sends = cold_sends(80, gap);
+        assert!(sends.len() >= 10, "{} set-ups in ten seconds", sends.len());
+        for first in &sends {
+            let window = sends.iter().filter(|t| (*first..*first + 2 * S).contains(*t)).count();
+            let warmth = 0.4 + 0.6 * ((*first - 100 * S) as f64 / (12 * S) as f64);
+            let all = 2.5 * 40.0 / 12.0 * warmth.min(1.0) * 2.0;
+            assert!(window as f64 <= all, "asked every {gap}: {window} set-ups, {all} at most");
+        }
+    }
+}
