--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,8 +41,8 @@
 const BAR: Time = 2 * SECOND;
 /// Part of a class's aim that an attempt may take while another can follow.
 const TRY_SHARE: f64 = 0.5;
-/// Part of the cold budget that a front uses: set-ups differ in work.
-const COLD_SHARE: f64 = 0.7;
+/// Part of the cold budget that is used, twice over: set-ups differ in work, and lots fall by chance.
+const COLD_SHARE: f64 = 0.55;
 /// What probes may cost, as a part of the worth of the sessions taken.
 const PROBE_SPEND: f64 = 0.01;
 /// A reading older than this is worth a probe before a session is placed.
@@ -832,8 +832,9 @@
             / f64::from(self.set.fronts).max(1.0);
         let since = ago(now, WINDOW).max(self.began.unwrap_or(now));
         let wanted = server.wanted.since(since).max(1.0) / seconds(now - since).max(1.0);
-        let draw = scatter(now / r.fall_window.max(1) ^ scatter(u64::from(server.entry.server.0)));
-        let lot = scatter(self.random ^ draw);
+        // Each front's windows begin at a moment of its own.
+        let window = (now + self.random % r.fall_window.max(1)) / r.fall_window.max(1);
+        let lot = scatter(self.random ^ scatter(window ^ scatter(u64::from(server.entry.server.0))));
         server.sends.since(ago(now, r.fall_window)) + 1.0 <= part.max(1.0)
             && (part >= 1.0 || unit(lot) * (wanted * seconds(r.fall_window)).min(1.0) <= part)
     }
