--- a/src/decide.rs
+++ b/src/decide.rs
@@ -157,6 +157,7 @@
         for entry in entries {
             let rack = entry.cell % self.set.racks;
             let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, rack));
+            self.racks[rack as usize].members.insert(entry.server);
             if entry.started > server.entry.started {
                 server.cold_from = entry.started;
                 (server.lost, server.barred_until, server.link) = (false, 0, None);
@@ -220,7 +221,8 @@
     }
 
     fn in_rack(&self, rack: u32) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |s| s.rack == rack && s.entry.state != ServerState::Gone)
+        let members = self.racks[rack as usize].members.iter().filter_map(|id| self.servers.get(id));
+        members.filter(move |s| s.rack == rack && s.entry.state != ServerState::Gone)
     }
 
     fn own_rack_kb(&self, rack: u32) -> f64 {
@@ -295,7 +297,9 @@
             return;
         }
         // A note at set-up, with the start, tells of now; later ones are late.
-        let starts = self.sessions.get(&id).is_some_and(|s| s.since == now);
+        let starts = self.sessions.get_mut(&id).filter(|s| s.since == now);
+        // A session placed on a guess need not wait with its rung: now the server is known.
+        let starts = starts.map(|s| (s.changed, s.weighed) = (0, 0)).is_some();
         let at = if starts { now } else { ago(now, self.set.seen_after) };
         let rack = state.rack;
         match kind {
@@ -375,15 +379,8 @@
         let most = FRACTION * ids.len() as f64;
         let most = most.floor() as usize + usize::from(self.chance(most.fract()));
         self.shuffle(&mut ids);
-        let mut used = BTreeSet::new();
-        for id in ids {
-            if used.len() < most
-                && let Some(target) = self.target(now, id, &used)
-            {
-                used.insert(target);
-                self.shift(now, id, out);
-            }
-        }
+        let can: Vec<_> = ids.into_iter().filter(|id| self.can_move(now, *id)).take(most).collect();
+        can.into_iter().for_each(|id| self.shift(now, id, out));
     }
 
     fn rack_sessions(&self, rack: u32) -> Vec<SessionId> {
@@ -392,28 +389,22 @@
 
     /// A holder on an unalerted rack with room at the same rung, if moving there earns its price: the rate
     /// moved is worth what lowering others by as much would lose, for half a session on average.
-    fn target(&self, now: Time, id: SessionId, used: &BTreeSet<ServerId>) -> Option<ServerId> {
-        let s = self.sessions.get(&id)?;
+    fn can_move(&self, now: Time, id: SessionId) -> bool {
+        let Some(s) = self.sessions.get(&id) else { return false };
+        let Some(from) = s.server.and_then(|id| self.servers.get(&id)) else { return false };
         let (kb, shared) = (rate(&self.set, s.class, s.rung), self.set.classes[s.class].live);
-        if s.phase != Phase::Playing || s.since + QUIET >= now || (shared && self.set.join < 1.0) {
-            return None;
-        }
         let best = self.set.classes.iter().map(|c| c.value).fold(0.0, f64::max);
         let gain = s.value / best * self.set.ladder[usize::from(s.rung)].worth / 2.0;
-        if gain <= self.set.prices.moved {
-            return None;
-        }
-        let from = self.servers.get(&s.server?)?.rack;
-        let fit = |t: &&Server| {
-            t.rack != from
-                && !used.contains(&t.entry.server)
+        let idle = s.phase != Phase::Playing || s.since + QUIET >= now || (shared && self.set.join < 1.0);
+        let fit = |t: &Server| {
+            t.rack != from.rack
                 && self.racks[t.rack as usize].alert_until <= now
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
                 && holds(&self.set, t, &s.wish)
                 && self.strain(now, t, kb) <= MARK
         };
-        self.servers.values().filter(fit).min_by_key(|t| t.sessions.len()).map(|t| t.entry.server)
+        !idle && gain > self.set.prices.moved && self.servers.values().any(fit)
     }
 
     // ---- rungs down and up ---------------------------------------------------------------------
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
 
 #[derive(Default)]
 pub struct Rack {
+    /// Servers that the list has placed there.
+    pub members: BTreeSet<ServerId>,
     pub changes: SlidingSum,
     pub uplink: Option<Reading>,
     pub alert_until: Time,
