--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const QUIET: Time = 8 * SECOND;
 /// Racks count as settled, and sessions below the first worthwhile rung rise, after so long: notes come each
 /// second and up to a second and a half late.
-const SETTLED: Time = 3 * SECOND;
+const SETTLED: Time = 2 * SECOND;
 /// Delivery below this costs worth (the wire's 98 in 100).
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
@@ -59,8 +59,8 @@
 /// Token of the periodic timer; other tokens are sessions' numbers.
 const TICK: u64 = u64::MAX;
 
-/// Sound, unalerted, worth less the crossing, lightness of burden.
-type Rank = (bool, bool, f64, f64);
+/// Sound, unalerted, worth less the crossing, lightness of burden, fewness of own sessions.
+type Rank = (bool, bool, f64, f64, f64);
 
 /// One front end's decisions.
 pub struct Controller {
@@ -566,9 +566,9 @@
             let worth = self.set.ladder[usize::from(rung)].worth - crossing;
             // Departure: viewers of a live title gather where its stream of that rung already plays.
             let joins = self.added_kb(server, s, rung) < rate(&self.set, s.class, rung);
-            // The fewest sessions for its size, own and inferred.
-            let burden = if joins { -1.0 } else { own / places + with(class.floor) + cold };
-            ranked.push(((sound, !alerted, worth, -burden), server.entry.server, rung));
+            // The fewest sessions for its size as inferred from what is seen, else the fewest own.
+            let burden = if joins { -1.0 } else { with(class.floor) + cold };
+            ranked.push(((sound, !alerted, worth, -burden, -own / places), server.entry.server, rung));
         }
         // Fronts that know nothing of the holders spread over them.
         self.shuffle(&mut ranked);
