--- a/src/decide.rs
+++ b/src/decide.rs
@@ -540,18 +540,9 @@
         server.entry.state == ServerState::Ready && server.barred_until <= now && !server.lost
     }
 
-    /// Finds a server and a rung, if need be after room is made, or gives the final answer at once.
+    /// Finds a server and a rung, or gives the final answer at once.
     fn place(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
-        if !self.admit(now, id, out) {
-            self.make_room(now, id, out);
-            if !self.admit(now, id, out) {
-                self.give_up(now, id, out);
-            }
-        }
-    }
-
-    fn admit(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) -> bool {
-        let Some(s) = self.sessions.get(&id) else { return true };
+        let Some(s) = self.sessions.get(&id) else { return };
         let class = &self.set.classes[s.class];
         let mut ranked: Vec<(Rank, ServerId, u8)> = Vec::new();
         let sample = self.sample(Some(s));
@@ -582,28 +573,28 @@
         // Fronts that know nothing of the holders spread over them.
         self.shuffle(&mut ranked);
         ranked.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
-        ranked.into_iter().any(|(_, server, rung)| self.send(now, id, server, rung, out))
+        if !ranked.into_iter().any(|(_, server, rung)| self.send(now, id, server, rung, out)) {
+            self.make_room(now, id, out);
+            self.give_up(now, id, out);
+        }
     }
 
-    /// Nothing fits while others play above the lowest rungs: this front frees as much as the viewer's first
-    /// rung on links and uplinks past the mark, the title's holders first, from own sessions that lose less
-    /// for each kB than the viewer would earn. As all fronts do so, room comes about where it is short.
+    /// A viewer was turned away while others play above the lowest rungs: this front frees as much as that
+    /// viewer's first rung on links and uplinks past the mark, from own sessions that lose less for each kB
+    /// than the viewer would earn. As all fronts do so, room comes about where it is short, for the next try.
     fn make_room(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get(&id) else { return };
         let Some((rung, kb, worth)) = self.steps[s.class].first().copied() else { return };
         let limit = ROOM * s.value * worth / kb;
-        let own = self.servers.values().filter(|h| !h.sessions.is_empty());
-        let mut tight: Vec<_> = own.filter(|h| self.strain(now, h, 0.0) >= MARK).collect();
-        if tight.iter().any(|h| holds(&self.set, h, &s.wish)) {
-            tight.retain(|h| holds(&self.set, h, &s.wish));
-        }
-        let ids: Vec<_> = tight.iter().flat_map(|h| h.sessions.iter().copied()).collect();
+        let tight = |h: &&Server| !h.sessions.is_empty() && self.strain(now, h, 0.0) >= MARK;
+        let servers = self.servers.values().filter(tight);
+        let ids: Vec<_> = servers.flat_map(|h| h.sessions.iter().copied()).collect();
         self.shed(now, &ids, rate(&self.set, s.class, rung), limit, out);
     }
 
     // ---- the life of a session -----------------------------------------------------------------
 
-    fn take(&mut self, now: Time, id: SessionId, wish: Wish) -> Option<&mut Session> {
+    fn admit(&mut self, now: Time, id: SessionId, wish: Wish) -> Option<&mut Session> {
         let class = usize::from(wish.class.0).min(self.set.classes.len() - 1);
         let c = &self.set.classes[class];
         let ladder_top = (self.set.ladder.len() - 1) as f64;
@@ -617,7 +608,7 @@
     fn request(&mut self, now: Time, id: SessionId, wish: Wish, out: &mut Vec<Action>) {
         self.taken.push(now, 1.0, self.set.rules.budget.map_or(WINDOW, |b| b.window));
         let moved = self.moved.remove(&wish.viewer).filter(|(at, ..)| at + WINDOW > now);
-        let Some(s) = self.take(now, id, wish) else { return };
+        let Some(s) = self.admit(now, id, wish) else { return };
         if let Some((_, left, rung)) = moved {
             s.shun.insert(left);
             s.cap = rung.min(s.top);
@@ -632,7 +623,7 @@
     }
 
     fn under_way(&mut self, now: Time, id: SessionId, wish: Wish, server: ServerId) {
-        let Some(s) = self.take(now, id, wish) else { return };
+        let Some(s) = self.admit(now, id, wish) else { return };
         (s.phase, s.server, s.since) = (Phase::Playing, Some(server), ago(now, WINDOW));
         (s.attempts, s.maybe_ran) = (1, true);
         if let Some(state) = self.servers.get_mut(&server) {
