--- a/src/decide.rs
+++ b/src/decide.rs
@@ -588,7 +588,7 @@
         let Some(s) = self.sessions.get(&id) else { return };
         let Some((rung, kb, worth)) = self.steps[s.class].first().copied() else { return };
         let limit = ROOM * s.value * worth / kb;
-        let tight = |h: &&Server| !h.sessions.is_empty() && self.strain(now, h, 0.0) >= MARK / 2.0;
+        let tight = |h: &&Server| !h.sessions.is_empty() && self.strain(now, h, 0.0) >= MARK;
         let servers = self.servers.values().filter(tight);
         let ids: Vec<_> = servers.flat_map(|h| h.sessions.iter().copied()).collect();
         self.shed(now, &ids, AHEAD * rate(&self.set, s.class, rung), limit, out);
