--- a/src/decide.rs
+++ b/src/decide.rs
@@ -824,9 +824,9 @@
         let part = pace * r.fall_multiple * seconds(r.fall_window) * COLD_SHARE
             / f64::from(self.set.fronts).max(1.0);
         let since = ago(now, WINDOW).max(self.began.unwrap_or(now));
-        let wanted = server.wanted.since(since).max(1.0) / seconds(now - since).max(1.0);
+        let wanted = server.wanted.since(since).max(1.0) / seconds(now.saturating_sub(since)).max(1.0);
         // Each front's windows begin at a moment of its own.
-        let window = (now + self.random % r.fall_window.max(1)) / r.fall_window.max(1);
+        let window = now.saturating_add(self.random % r.fall_window.max(1)) / r.fall_window.max(1);
         let lot = scatter(self.random ^ scatter(window ^ scatter(u64::from(server.entry.server.0))));
         server.sends.since(ago(now, r.fall_window)) + 1.0 <= part.max(1.0)
             && (part >= 1.0 || unit(lot) * (wanted * seconds(r.fall_window)).min(1.0) <= part)
