--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,481 @@
+//! Settings of the session front, in the manner of classic daemons.
+//!
+//! A line is `keyword value ...`; `section kind [name]` opens a block that lasts to the next one; `#` starts
+//! a comment, `include FILE` reads another file in place. Every fault is told with file, line, column and
+//! what was expected, all of them at once. The keywords are listed in `docs/operators.md`.
+
+mod lines;
+mod read;
+
+use codespan_reporting::diagnostic::{Diagnostic, Label};
+use codespan_reporting::files::SimpleFiles;
+use codespan_reporting::term;
+use lines::{Block, Loader};
+pub use lines::{Fault, Place, Source};
+use pepperhook::{
+    Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, Time, TitleId, ZoneId,
+};
+use pepperhook_inventory::Names;
+use read::{Fields, time};
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+const MS: Time = 1_000_000;
+const SECOND: Time = 1_000 * MS;
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogForm {
+    /// A line a person reads.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Bounds of the listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at once; more are closed as they come.
+    pub connections: usize,
+    /// Requests that wait for their answer at once; more are refused with 503.
+    pub waiting: usize,
+    /// Sessions held at once; more are refused with 503.
+    pub sessions: usize,
+    /// Bytes of a body; more is 413.
+    pub body: usize,
+    /// Bytes of a request's head; more is 431.
+    pub head: usize,
+    /// A head must have come within this time.
+    pub head_time: Time,
+    /// A body must have come within this time; else 408.
+    pub body_time: Time,
+}
+
+/// A class with what the front adds to the module's.
+#[derive(Clone, Debug)]
+pub struct ClassSettings {
+    /// Its name in paths and tokens.
+    pub name: String,
+    /// A viewer gives up after this time.
+    pub patience: Time,
+    /// Sessions of publishers.
+    pub ingest: bool,
+}
+
+/// Where a title lies.
+#[derive(Clone, Copy, Debug)]
+pub struct Title {
+    /// Its id: a stable hash of its name.
+    pub id: TitleId,
+    /// First cell that holds it.
+    pub home: u32,
+    /// Cells in a row that hold it.
+    pub copies: u32,
+    /// Class of its viewers.
+    pub class: u16,
+}
+
+/// A bearer token (RFC 6750) and what it stands for. Its secret is never printed.
+#[derive(Clone)]
+pub struct Token {
+    /// Its name, for logs.
+    pub name: String,
+    /// The secret itself.
+    pub secret: String,
+    /// Tenant of those who bear it.
+    pub tenant: u16,
+    /// It may publish.
+    pub publish: bool,
+    /// Highest rung of those who bear it.
+    pub top: Option<u8>,
+}
+
+impl std::fmt::Debug for Token {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Token").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+/// Everything that a front is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The front's name, in logs and in `Via`.
+    pub name: String,
+    /// Where viewers and publishers come.
+    pub listen: SocketAddr,
+    /// Where the console is; loopback unless stated.
+    pub admin: SocketAddr,
+    /// Key of the console; made at the start where none is given.
+    pub admin_key: Option<String>,
+    /// Where the front keeps what a restart needs.
+    pub state_dir: Option<PathBuf>,
+    /// The list of nodes.
+    pub inventory: PathBuf,
+    /// Time between two looks at it.
+    pub inventory_poll: Time,
+    /// Form of the log.
+    pub log: LogForm,
+    /// Bounds.
+    pub limits: Limits,
+    /// A connection to a node must be up within this time.
+    pub connect_time: Time,
+    /// How long a node is heard out after an attempt timed out, before its connection is reset.
+    pub close_grace: Time,
+    /// Kept back from each patience, so that the answer is with the viewer in time.
+    pub answer_margin: Time,
+    /// Classes, in the order of [`Settings::classes`].
+    pub classes: Vec<ClassSettings>,
+    /// Tenants, in the order of [`Settings::tenants`].
+    pub tenants: Vec<String>,
+    /// Titles by name.
+    pub titles: BTreeMap<String, Title>,
+    /// Tokens; without any, everyone is let in.
+    pub tokens: Vec<Token>,
+    /// Names that the list of nodes may use.
+    pub names: Names,
+    /// What the decision module is told.
+    pub decisions: Settings,
+}
+
+/// Faults and the texts they were found in.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// The texts.
+    pub source: Source,
+    /// What is wrong, in order of place.
+    pub faults: Vec<Fault>,
+}
+
+impl std::fmt::Display for Faults {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let mut files = SimpleFiles::new();
+        let ids: Vec<_> =
+            self.source.files.iter().map(|(p, t)| files.add(p.display().to_string(), t.as_str())).collect();
+        for fault in &self.faults {
+            let Some(id) = ids.get(fault.place.file) else { continue };
+            let text = &self.source.files[fault.place.file].1;
+            let start = text.split_inclusive('\n').take(fault.place.line - 1).map(str::len).sum::<usize>();
+            let line = text[start..].lines().next().unwrap_or("");
+            let from: usize = line.chars().take(fault.place.column - 1).map(char::len_utf8).sum();
+            let long = line[from..].split([' ', '\t', '#']).next().map_or(0, str::len).max(1);
+            let at = (start + from).min(text.len());
+            let range = at..(at + long).min(text.len());
+            let diagnostic =
+                Diagnostic::error().with_message(&fault.what).with_labels(vec![Label::primary(*id, range)]);
+            let mut out = term::termcolor::NoColor::new(Vec::new());
+            let shown = term::emit(&mut out, &term::Config::default(), &files, &diagnostic);
+            shown.map_err(|_| std::fmt::Error)?;
+            f.write_str(&String::from_utf8_lossy(&out.into_inner()))?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// A stable id of a name.
+#[must_use]
+pub fn name_hash(name: &str) -> u64 {
+    let mut h = SipHasher13::new();
+    h.write(name.as_bytes());
+    h.finish()
+}
+
+impl Config {
+    /// Reads settings from a file; relative paths in it are beside it.
+    ///
+    /// # Errors
+    /// Every fault, with its place.
+    pub fn load(path: &Path) -> Result<Self, Faults> {
+        let mut config = build(Loader::file(path))?;
+        let beside = path.parent().unwrap_or(Path::new(""));
+        config.inventory = beside.join(&config.inventory);
+        config.state_dir = config.state_dir.map(|d| beside.join(d));
+        Ok(config)
+    }
+
+    /// Reads settings from text.
+    ///
+    /// # Errors
+    /// Every fault, with its place.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Faults> {
+        build(Loader::text(name, text))
+    }
+}
+
+fn rung(fields: &mut Fields, keyword: &'static str) -> Option<u8> {
+    fields.parsed(keyword, "rung, a number from 0 to 255")
+}
+
+fn class(block: &Block, faults: &mut Vec<Fault>) -> (ClassSettings, Class) {
+    let mut f = Fields::new(block);
+    let aim = f.time("aim");
+    let aim = f.need("aim", aim);
+    let patience = f.time("patience");
+    let patience = f.need("patience", patience);
+    let mut repeat = Repeat::Harmless;
+    for line in f.lines("repeat", 1, 3) {
+        let words: Vec<&str> = line.values.iter().map(|w| w.text.as_str()).collect();
+        let group = |g: &str| match g {
+            "all" => Some(Group::All),
+            "zone" => Some(Group::Zone),
+            "cell" => Some(Group::Cell),
+            _ => None,
+        };
+        let read = match words.as_slice() {
+            ["harmless"] => Some(Repeat::Harmless),
+            ["never"] => Some(Repeat::Never),
+            ["within", g, t] => group(g).zip(time(t)).map(|(g, t)| Repeat::Within(g, t)),
+            _ => None,
+        };
+        match read {
+            Some(r) => repeat = r,
+            None => f.fault(line.values[0].place, "expected: harmless, never, or within all|zone|cell TIME"),
+        }
+    }
+    let name = block.name.as_ref().map_or_else(String::new, |n| n.text.clone());
+    let class = Class {
+        aim,
+        repeat,
+        value: f.number("value").unwrap_or(1.0),
+        scale: f.number("scale").unwrap_or(1.0),
+        floor: rung(&mut f, "floor").unwrap_or(0),
+        top: rung(&mut f, "top").unwrap_or(u8::MAX),
+        seats: f.parsed("seats", "whole number").unwrap_or(0),
+        live: f.yes("live").unwrap_or(false),
+    };
+    let ingest = f.yes("ingest").unwrap_or(false);
+    faults.extend(f.end());
+    (ClassSettings { name, patience, ingest }, class)
+}
+
+fn rules(block: &Block, faults: &mut Vec<Fault>) -> Rules {
+    let mut f = Fields::new(block);
+    let (share, cold) = (f.number("cold-share"), f.time("cold"));
+    let (multiple, window) = (f.number("fall-multiple"), f.time("fall-window"));
+    let mut budget = None;
+    for line in f.lines("budget", 3, 3) {
+        let v = &line.values;
+        match (v[0].text.parse(), v[1].text.parse(), time(&v[2].text)) {
+            (Ok(free), Ok(share), Some(window)) => budget = Some(RetryBudget { free, share, window }),
+            _ => f.fault(v[0].place, "expected: budget FREE SHARE WINDOW, such as: budget 3 0.2 10s"),
+        }
+    }
+    let rules = Rules {
+        cold_share: f.need("cold-share", share),
+        cold: f.need("cold", cold),
+        fall_multiple: f.need("fall-multiple", multiple),
+        fall_window: f.need("fall-window", window),
+        budget,
+    };
+    faults.extend(f.end());
+    rules
+}
+
+fn named<'a>(blocks: &'a [Block], kind: &'a str, faults: &mut Vec<Fault>) -> Vec<(String, &'a Block)> {
+    let mut out: Vec<(String, &Block)> = Vec::new();
+    for block in blocks.iter().filter(|b| b.kind == kind) {
+        match &block.name {
+            None => faults.push(Fault { place: block.place, what: format!("section {kind} needs a name") }),
+            Some(name) if out.iter().any(|(n, _)| *n == name.text) => {
+                let what = format!("section {kind} '{}' is given twice", name.text);
+                faults.push(Fault { place: name.place, what });
+            }
+            Some(name) => out.push((name.text.clone(), block)),
+        }
+    }
+    out
+}
+
+fn build(loader: Loader) -> Result<Config, Faults> {
+    let Loader { source, blocks, mut faults } = loader;
+    const KINDS: [&str; 9] = ["", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices"];
+    for block in blocks.iter().filter(|b| !KINDS.contains(&b.kind.as_str())) {
+        let what = format!("unknown section '{}'; expected one of: {}", block.kind, KINDS[1..].join(", "));
+        faults.push(Fault { place: block.place, what });
+    }
+
+    let mut ladder = Vec::new();
+    for block in blocks.iter().filter(|b| b.kind == "ladder") {
+        let mut f = Fields::new(block);
+        for line in f.lines("rung", 2, 2) {
+            match (line.values[0].text.parse(), line.values[1].text.parse()) {
+                (Ok(kb), Ok(worth)) => ladder.push(Rung { kb, worth }),
+                _ => f.fault(line.values[0].place, "expected: rung KB-A-SECOND WORTH, two numbers"),
+            }
+        }
+        faults.extend(f.end());
+    }
+    let highest = u8::try_from(ladder.len().saturating_sub(1)).unwrap_or(u8::MAX);
+
+    let (mut classes, mut library) = (Vec::new(), Vec::new());
+    for (_, block) in named(&blocks, "class", &mut faults) {
+        let (ours, mut theirs) = class(block, &mut faults);
+        theirs.top = theirs.top.min(highest);
+        classes.push(ours);
+        library.push(theirs);
+    }
+    let (mut kinds, mut kind_streams) = (Vec::new(), Vec::new());
+    for (name, block) in named(&blocks, "kind", &mut faults) {
+        let mut f = Fields::new(block);
+        let streams = f.number("streams");
+        kind_streams.push(f.need("streams", streams));
+        kinds.push(name);
+        faults.extend(f.end());
+    }
+    let (mut tenants, mut shares) = (Vec::new(), Vec::new());
+    for (name, block) in named(&blocks, "tenant", &mut faults) {
+        let mut f = Fields::new(block);
+        shares.push(Tenant { quota_per_s: f.number("quota").unwrap_or(0.0) });
+        tenants.push(name);
+        faults.extend(f.end());
+    }
+    let mut titles = BTreeMap::new();
+    for (name, block) in named(&blocks, "title", &mut faults) {
+        let mut f = Fields::new(block);
+        let (home, copies) = (f.parsed("home", "cell"), f.parsed("copies", "whole number"));
+        let (home, copies) = (f.need("home", home), f.need("copies", copies));
+        let by_name =
+            f.with("class", "class of these settings", |t| classes.iter().position(|c| c.name == t));
+        let class = f.need("class", by_name) as u16;
+        faults.extend(f.end());
+        titles.insert(name.clone(), Title { id: TitleId(name_hash(&name)), home, copies, class });
+    }
+    let mut tokens = Vec::new();
+    for (name, block) in named(&blocks, "token", &mut faults) {
+        let mut f = Fields::new(block);
+        let secret = f.word("secret").map(|w| w.text.clone());
+        let secret = f.need("secret", secret);
+        let tenant = f.with("tenant", "tenant of these settings", |t| tenants.iter().position(|n| n == t));
+        let (publish, top) = (f.yes("publish").unwrap_or(false), rung(&mut f, "top"));
+        faults.extend(f.end());
+        tokens.push(Token { name, secret, tenant: tenant.unwrap_or(0) as u16, publish, top });
+    }
+    let rules = match blocks.iter().find(|b| b.kind == "rules") {
+        Some(block) => rules(block, &mut faults),
+        None => {
+            faults.push(Fault { place: blocks[0].place, what: "there is no section rules".into() });
+            Rules { cold_share: 1.0, cold: 1, fall_multiple: 1.0, fall_window: 1, budget: None }
+        }
+    };
+    let (mut prices, mut over_share_worth) = (Prices::default(), 1.0);
+    for block in blocks.iter().filter(|b| b.kind == "prices") {
+        let mut f = Fields::new(block);
+        prices.moved = f.number("moved").unwrap_or(0.0);
+        prices.cross_zone = f.number("cross-zone").unwrap_or(0.0);
+        prices.probe = f.number("probe").unwrap_or(0.0);
+        over_share_worth = f.number("over-share-worth").unwrap_or(1.0);
+        faults.extend(f.end());
+    }
+
+    let mut f = Fields::new(&blocks[0]);
+    let zones: Vec<String> =
+        f.lines("zones", 1, 64).iter().flat_map(|l| l.values.iter().map(|w| w.text.clone())).collect();
+    let zone = f.with("zone", "zone of these settings", |t| zones.iter().position(|z| z == t));
+    let zone = f.need("zone", zone);
+    let mut gauges = Vec::new();
+    for word in f.lines("gauges", 1, 4).into_iter().flat_map(|l| &l.values) {
+        match word.text.as_str() {
+            "streams" => gauges.push(Gauge::Streams),
+            "link-capped" => gauges.push(Gauge::LinkCapped),
+            "link" => gauges.push(Gauge::Link),
+            "uplink" => gauges.push(Gauge::Uplink),
+            other => f.fault(word.place, format!("'{other}' is none of streams, link-capped, link, uplink")),
+        }
+    }
+    let address = "address such as 127.0.0.1:8080";
+    let listen = f.parsed("listen", address);
+    let inventory = f.word("inventory").map(|w| PathBuf::from(&w.text));
+    let (racks, cells, uplink) =
+        (f.parsed("racks", "whole number"), f.parsed("cells", "whole number"), f.number("uplink-kb"));
+    let (racks, cells) = (f.need("racks", racks), f.need("cells", cells));
+    let names = Names { zones, kinds, cells };
+    let name = f.word("name").map(|w| w.text.clone());
+    let advice = f.yes("advice").unwrap_or(true);
+    let config = Config {
+        name: f.need("name", name),
+        listen: f.need("listen", listen.map(Some)).unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+        admin: f.parsed("admin", address).unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+        admin_key: f.word("admin-key").map(|w| w.text.clone()),
+        state_dir: f.word("state-dir").map(|w| PathBuf::from(&w.text)),
+        inventory: f.need("inventory", inventory),
+        inventory_poll: f.time("inventory-poll").unwrap_or(100 * MS).max(10 * MS),
+        log: f
+            .with("log", "form of log, text or json", |t| match t {
+                "text" => Some(LogForm::Text),
+                "json" => Some(LogForm::Json),
+                _ => None,
+            })
+            .unwrap_or(LogForm::Text),
+        limits: Limits {
+            connections: f.parsed("max-connections", "whole number").unwrap_or(16_384),
+            waiting: f.parsed("max-waiting", "whole number").unwrap_or(4_096),
+            sessions: f.parsed("max-sessions", "whole number").unwrap_or(65_536),
+            body: f.parsed("max-body", "number of bytes").unwrap_or(64 << 10),
+            head: f.parsed("max-head", "number of bytes").unwrap_or(16 << 10).max(8 << 10),
+            head_time: f.time("head-time").unwrap_or(5 * SECOND),
+            body_time: f.time("body-time").unwrap_or(5 * SECOND),
+        },
+        connect_time: f.time("connect-time").unwrap_or(250 * MS),
+        close_grace: f.time("close-grace").unwrap_or(40 * MS),
+        answer_margin: f.time("answer-margin").unwrap_or(250 * MS),
+        decisions: Settings {
+            fronts: f.parsed("fronts", "whole number").unwrap_or(1),
+            zone: ZoneId(zone as u16),
+            classes: library,
+            tenants: shares,
+            over_share_worth,
+            ladder,
+            kind_streams,
+            racks,
+            cells,
+            uplink_kb: f.need("uplink-kb", uplink),
+            kb_per_weight: f.number("kb-per-weight").unwrap_or(0.0),
+            all_links_kb: f.number("all-links-kb").unwrap_or(0.0),
+            join: f.number("join").unwrap_or(1.0),
+            refuses_from: f.number("refuses-from").unwrap_or(0.0),
+            seen_after: f.time("seen-after").unwrap_or(0),
+            switch_cost_s: f.number("switch-cost").unwrap_or(0.0),
+            gauges,
+            // The front has no probes: what it knows comes with answers and event streams.
+            probes: false,
+            advice,
+            max_advice: f.time("max-advice").unwrap_or(SECOND),
+            max_attempts: f.parsed("max-attempts", "whole number").unwrap_or(3),
+            list_on_request: false,
+            step: f.time("step").unwrap_or(MS),
+            prices,
+            rules,
+        },
+        classes,
+        tenants,
+        titles,
+        tokens,
+        names,
+    };
+    faults.extend(f.end());
+    if faults.is_empty() {
+        let first = blocks[0].place;
+        if let Err(e) = config.decisions.validate() {
+            faults.push(Fault { place: first, what: e.0 });
+        }
+        if !config.admin.ip().is_loopback() && config.admin_key.is_none() {
+            faults
+                .push(Fault { place: first, what: "an 'admin' beyond loopback needs an 'admin-key'".into() });
+        }
+        if config.limits.waiting == 0 || config.limits.connections == 0 || config.limits.sessions == 0 {
+            faults.push(Fault {
+                place: first,
+                what: "max-connections, max-waiting and max-sessions are above 0".into(),
+            });
+        }
+    }
+    faults.sort_by_key(|f| (f.place.file, f.place.line, f.place.column));
+    if faults.is_empty() { Ok(config) } else { Err(Faults { source, faults }) }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/settings/src/tests.rs
@@ -0,0 +1,61 @@
+use super::*;
+
+const GOOD: &str = "name front-1\nlisten 127.0.0.1:0 # any port\nzones gedung-a gedung-b\nzone gedung-b\n\
+racks 3\ncells 9\nuplink-kb 9000\nkb-per-weight 4000\ngauges streams link uplink\ninventory \"my nodes.csv\"\n\
+section ladder\nrung 200 0.3\nrung 600 1\nsection class replay\naim 800ms\npatience 4s\nrepeat within zone 5s\n\
+section kind small\nstreams 30\nsection tenant acme\nquota 4\nsection title t1\nhome 0\ncopies 3\nclass replay\n\
+section token viewers\nsecret s3cret\ntenant acme\nsection rules\ncold-share 0.4\ncold 12s\nfall-multiple 2.5\nfall-window 2s\n";
+
+#[test]
+fn settings_are_read_with_their_defaults() {
+    let c = Config::parse("front.conf", GOOD).expect("settings");
+    assert_eq!((c.decisions.zone, c.inventory.to_str()), (ZoneId(1), Some("my nodes.csv")));
+    assert_eq!(c.decisions.classes[0].repeat, Repeat::Within(Group::Zone, 5 * SECOND));
+    assert_eq!((c.decisions.classes[0].top, c.classes[0].patience), (1, 4 * SECOND));
+    assert_eq!((c.titles["t1"].copies, c.titles["t1"].class), (3, 0));
+    assert!(!format!("{c:?}").contains("s3cret"), "a secret is never printed");
+}
+
+#[test]
+fn every_fault_is_told_at_its_place_and_all_at_once() {
+    let bad = GOOD
+        .replace("racks 3", "racks three")
+        .replace("aim 800ms", "aim 800")
+        .replace("streams 30", "stream 30")
+        .replace("class replay\nsection token", "class replays\nsection token")
+        .replace("section tenant", "section tenants")
+        .replace("\"my nodes.csv\"", "\"my nodes.csv");
+    let e = Config::parse("front.conf", &bad).expect_err("faults");
+    let at: Vec<_> = e.faults.iter().map(|f| (f.place.line, f.place.column)).collect();
+    for place in [(5, 7), (10, 11), (15, 5), (19, 1), (20, 1), (25, 7)] {
+        assert!(at.contains(&place), "{place:?} in {e}");
+    }
+    let shown = e.to_string();
+    assert!(shown.contains("front.conf:5:7") && shown.contains("racks three"), "{shown}");
+    assert!(shown.contains("unknown keyword 'stream'"), "{shown}");
+}
+
+#[test]
+fn includes_are_read_in_place_and_a_circle_ends() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let main = dir.path().join("front.conf");
+    std::fs::write(&main, GOOD.replace("section rules", "include rules.conf\n#")).expect("written");
+    let rules = "section rules\ncold-share 0.4\ncold 12s\nfall-multiple 2.5\nfall-window 2s\n";
+    std::fs::write(dir.path().join("rules.conf"), rules).expect("written");
+    // What follows the include belongs to the block that the included file opened.
+    let text = std::fs::read_to_string(&main).expect("read");
+    let cut = text.find("\n#").expect("the mark");
+    std::fs::write(&main, &text[..cut + 1]).expect("written");
+    assert!(Config::load(&main).is_ok());
+    std::fs::write(dir.path().join("rules.conf"), "include rules.conf\n").expect("written");
+    assert!(Config::load(&main).expect_err("a circle").to_string().contains("includes itself"));
+    let missing = Config::load(&dir.path().join("none.conf")).expect_err("no file");
+    assert!(missing.to_string().contains("none.conf"));
+}
+
+#[test]
+fn an_admin_listener_beyond_loopback_needs_a_key() {
+    let open = format!("admin 0.0.0.0:9000\n{GOOD}");
+    assert!(Config::parse("f", &open).expect_err("no key").to_string().contains("admin-key"));
+    assert!(Config::parse("f", &format!("admin-key abc\n{open}")).is_ok());
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -145,6 +145,28 @@
         }
     }
 
+    /// What is held of servers and racks, for display; nothing is decided by it.
+    #[must_use]
+    pub fn view(&self, now: Time) -> (Vec<ServerView>, Vec<RackView>) {
+        let server = |s: &Server| ServerView {
+            entry: s.entry,
+            rack: s.rack,
+            sessions: s.sessions.len(),
+            own_kb: s.own_kb,
+            link_use: self.link_use(now, s),
+            warmth: self.warmth(now, s),
+            barred: s.barred_until > now || s.lost,
+        };
+        let rack = |rack: u32| RackView {
+            rack,
+            forecast: self.forecast(now, rack),
+            uplink_use: self.uplink_use(now, rack),
+            mark: MARK,
+            alerted: self.racks[rack as usize].alert_until > now,
+        };
+        (self.servers.values().map(server).collect(), (0..self.set.racks).map(rack).collect())
+    }
+
     // ---- the list of servers -------------------------------------------------------------------
 
     fn list(&mut self, entries: Vec<ServerEntry>, full: bool) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -264,7 +264,7 @@
 }
 
 /// An entry of the list of servers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerEntry {
     /// Which server.
     pub server: ServerId,
@@ -411,3 +411,37 @@
     /// A line for the log.
     Log(String),
 }
+
+/// What the module holds a node to be, for display only.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerView {
+    /// As last listed.
+    pub entry: ServerEntry,
+    /// Its rack.
+    pub rack: u32,
+    /// This front's sessions there.
+    pub sessions: usize,
+    /// Their rates in force, kB a second.
+    pub own_kb: f64,
+    /// Use of its link as estimated; 1 is full.
+    pub link_use: f64,
+    /// Share of its capacity that it is held to have reached.
+    pub warmth: f64,
+    /// It is passed over while another holder is sound.
+    pub barred: bool,
+}
+
+/// What the module holds a rack to be, for display only.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RackView {
+    /// Its number.
+    pub rack: u32,
+    /// Forecast demand over the uplink.
+    pub forecast: f64,
+    /// Use of the uplink as estimated.
+    pub uplink_use: f64,
+    /// Past this forecast it is alerted.
+    pub mark: f64,
+    /// An alert is in force.
+    pub alerted: bool,
+}
