The front: a sans-I/O engine around the decision module, WHIP and WHEP over hyper

The decisions had no program that carries them out. The engine keeps the accounts (one answer a ticket, one session a viewer, attempts out until the node or the connection says otherwise) without I/O; shell, listener, upstream and console are its faces on tokio's current-thread runtime.

A late 201 is deleted at its node.

--- /dev/null
+++ b/crates/front/src/engine/view.rs
@@ -0,0 +1,148 @@
+//! What the console shows, as plain data.
+
+use super::Engine;
+use super::tally::ClassRow;
+use pepperhook::{ServerState, Time};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// The state of a front at one moment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Snapshot {
+    /// The front's name.
+    pub front: String,
+    /// It is stopping.
+    pub stopping: bool,
+    /// Requests that wait for their answer.
+    pub waiting: usize,
+    /// Sessions that play.
+    pub playing: usize,
+    /// Attempts that are out, and those of them that are being closed.
+    pub attempts_out: usize,
+    /// Attempts that are being closed.
+    pub attempts_closing: usize,
+    /// Requests since the start.
+    pub asked: u64,
+    /// Answers by kind.
+    pub answers: BTreeMap<&'static str, u64>,
+    /// Failed attempts by outcome.
+    pub failures: BTreeMap<&'static str, u64>,
+    /// Ended sessions by outcome.
+    pub ends: BTreeMap<&'static str, u64>,
+    /// Waiting requests whose viewer left.
+    pub left: u64,
+    /// Attempts since the start.
+    pub attempts: u64,
+    /// 201s after the time-out.
+    pub late_answers: u64,
+    /// Requests answered only by the last guard.
+    pub backstops: u64,
+    /// Sessions moved.
+    pub moves: u64,
+    /// Changes of rung.
+    pub rungs: u64,
+    /// Set-up times by class.
+    pub classes: Vec<ClassRow>,
+    /// Racks.
+    pub racks: Vec<RackRow>,
+    /// Nodes.
+    pub nodes: Vec<NodeRow>,
+}
+
+/// A rack.
+#[derive(Clone, Debug, Serialize)]
+pub struct RackRow {
+    /// Its number.
+    pub rack: u32,
+    /// Forecast demand over the uplink.
+    pub forecast: f64,
+    /// Use of the uplink as estimated.
+    pub uplink: f64,
+    /// The mark.
+    pub mark: f64,
+    /// An alert is in force.
+    pub alerted: bool,
+}
+
+/// A node.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeRow {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its rack.
+    pub rack: u32,
+    /// As listed: ready, draining or gone.
+    pub state: &'static str,
+    /// Passed over while another is sound.
+    pub barred: bool,
+    /// Share of its capacity that it is held to have reached.
+    pub warmth: f64,
+    /// Use of its link as estimated.
+    pub link: f64,
+    /// This front's sessions there.
+    pub sessions: usize,
+    /// Their rates, kB a second.
+    pub own_kb: f64,
+}
+
+impl Engine {
+    /// What the front holds now.
+    #[must_use]
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        let (servers, racks) = self.controller.view(now);
+        let zones = &self.config.names.zones;
+        let row = |v: &pepperhook::ServerView| {
+            let state = self.nodes.get(&v.entry.server)?;
+            Some(NodeRow {
+                name: state.node.name.clone(),
+                zone: zones.get(usize::from(v.entry.zone.0)).cloned().unwrap_or_default(),
+                rack: v.rack,
+                state: match v.entry.state {
+                    ServerState::Ready => "ready",
+                    ServerState::Draining => "draining",
+                    ServerState::Gone => "gone",
+                },
+                barred: v.barred,
+                warmth: v.warmth,
+                link: v.link_use,
+                sessions: v.sessions,
+                own_kb: v.own_kb,
+            })
+        };
+        let mut nodes: Vec<NodeRow> = servers.iter().filter_map(row).collect();
+        nodes.sort_by(|a, b| a.name.cmp(&b.name));
+        let t = &self.tally;
+        Snapshot {
+            front: self.config.name.clone(),
+            stopping: self.stopping,
+            waiting: self.tickets.len() + self.parked.len(),
+            playing: self.resources.len(),
+            attempts_out: self.attempts.len(),
+            attempts_closing: self.attempts.values().filter(|a| a.closing.is_some()).count(),
+            asked: t.asked,
+            answers: t.answers.clone(),
+            failures: t.failures.clone(),
+            ends: t.ends.clone(),
+            left: t.left,
+            attempts: t.attempts,
+            late_answers: t.late_answers,
+            backstops: t.backstops,
+            moves: t.moves,
+            rungs: t.rungs,
+            classes: t.classes(),
+            racks: racks
+                .iter()
+                .map(|r| RackRow {
+                    rack: r.rack,
+                    forecast: r.forecast,
+                    uplink: r.uplink_use,
+                    mark: r.mark,
+                    alerted: r.alerted,
+                })
+                .collect(),
+            nodes,
+        }
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,1 +1,18 @@
-//! x
+//! The session front: a state machine around the decision module, and its faces.
+//!
+//! - [`engine`]: sessions, attempts and answers, without I/O; what it does is decided by `pepperhook`.
+//! - `shell`: carries out what the engine says, on tokio's current-thread runtime.
+//! - `upstream`: speaks WHIP and WHEP to the nodes. `listener`: speaks them to viewers and publishers.
+//! - `console`: one page for operators.
+//!
+//! Arrows go one way: faces and shell know the engine, the engine knows neither.
+
+mod console;
+pub mod engine;
+mod http;
+mod listener;
+mod shell;
+mod upstream;
+
+pub use engine::Snapshot;
+pub use shell::{Clock, Front};
--- /dev/null
+++ b/crates/front/src/listener.rs
@@ -0,0 +1,363 @@
+//! The face to viewers and publishers: WHEP and WHIP over HTTP.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `POST /whep/{title}`, `POST /whip/{title}` | 201, or a problem: see `problem_of` |
+//! | `PATCH /session/{id}` | carried through to the node |
+//! | `DELETE /session/{id}` | 200; the node is told |
+//! | `POST /session/{id}/events`, `GET /session/{id}/events/stream` | server-sent events |
+//! | `OPTIONS` on each | CORS |
+//!
+//! Who asks: `viewer`, `class`, `tenant` and `top` come from the query, tenant and rights from the bearer token
+//! where tokens are set (`docs/operators.md`).
+
+use crate::engine::types::*;
+use crate::http::{Events, Out, accept, add, body, problem, response, set};
+use crate::shell::Shell;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, AUTHORIZATION, CONTENT_TYPE, ETAG, IF_MATCH, LINK, LOCATION, WWW_AUTHENTICATE};
+use hyper::{HeaderMap, Method, Request, Response};
+use pepperhook::ViewerKey;
+use pepperhook_settings::{Token, name_hash};
+use pepperhook_signalling::{
+    Direction, EVENT_MOVE, FRAGMENT_TYPE, Fragment, Offer, Problem, REL_EVENTS, SDP_TYPE,
+};
+use std::rc::Rc;
+use std::time::Duration;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tracing::{Instrument, debug, info_span};
+
+/// A PATCH must be through within this time.
+const PATCH_TIME: Duration = Duration::from_secs(2);
+/// Advice to those who come to a live title before its publisher.
+const UNPUBLISHED_MS: u64 = 1_000;
+/// Bytes of a title's, a viewer's or a class's name at most.
+const NAME: usize = 256;
+
+/// Serves until told to close.
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener, closed: watch::Receiver<bool>) {
+    let limits = shell.config.limits;
+    accept(listener, limits, closed, move |request| {
+        let shell = shell.clone();
+        async move { answer(&shell, request).await }
+    })
+    .await;
+}
+
+async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Out> {
+    let mut r = match route(shell, request).await {
+        Ok(r) => r,
+        Err(p) => {
+            let mut r = problem(&p);
+            if p.status == 401 {
+                set(&mut r, WWW_AUTHENTICATE.as_str(), "Bearer");
+            }
+            r
+        }
+    };
+    set(&mut r, "access-control-allow-origin", "*");
+    set(&mut r, "access-control-expose-headers", "location, etag, link, retry-after");
+    r
+}
+
+fn not_allowed(allow: &str) -> Response<Out> {
+    let p = Problem::new(405, "method", "Method not allowed", format!("allowed here: {allow}"));
+    let mut r = problem(&p);
+    set(&mut r, ALLOW.as_str(), allow);
+    r
+}
+
+fn options(allow: &str, accept_post: Option<&str>) -> Response<Out> {
+    let mut r = response(204, "", Bytes::new());
+    set(&mut r, ALLOW.as_str(), allow);
+    set(&mut r, "access-control-allow-methods", allow);
+    set(&mut r, "access-control-allow-headers", "authorization, content-type, if-match");
+    if let Some(kind) = accept_post {
+        set(&mut r, "accept-post", kind);
+    }
+    r
+}
+
+/// The token that a request bears, where tokens are set (RFC 6750; RFC 9725, 4.7).
+fn authorize<'a>(shell: &'a Shell, headers: &HeaderMap) -> Result<Option<&'a Token>, Problem> {
+    if shell.config.tokens.is_empty() {
+        return Ok(None);
+    }
+    let bearer = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok()).and_then(|v| {
+        let (scheme, token) = v.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
+    });
+    let matches = |t: &&Token| bool::from(t.secret.as_bytes().ct_eq(bearer.unwrap_or("").as_bytes()));
+    match shell.config.tokens.iter().find(matches) {
+        Some(token) => Ok(Some(token)),
+        None => Err(Problem::new(401, "token", "Not authorized", "a valid bearer token is needed")),
+    }
+}
+
+/// Compares media types without their parameters.
+fn is_type(headers: &HeaderMap, wanted: &str) -> bool {
+    let given = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or("");
+    given.split(';').next().unwrap_or("").trim().eq_ignore_ascii_case(wanted)
+}
+
+fn wrong_type(wanted: &str) -> Problem {
+    Problem::new(415, "media-type", "Unsupported media type", format!("{wanted} is expected"))
+}
+
+async fn route(shell: &Rc<Shell>, request: Request<Incoming>) -> Result<Response<Out>, Problem> {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let method = request.method().clone();
+    match (parts.as_slice(), method) {
+        (["whep" | "whip", _], Method::OPTIONS) => Ok(options("POST, OPTIONS", Some(SDP_TYPE))),
+        ([kind @ ("whep" | "whip"), title], Method::POST) => {
+            post(shell, *kind == "whip", title, request).await
+        }
+        (["whep" | "whip", _], _) => Ok(not_allowed("POST, OPTIONS")),
+        (["session", _], Method::OPTIONS) => Ok(options("PATCH, DELETE, OPTIONS", None)),
+        (["session", id], Method::PATCH) => patch(shell, id, request).await,
+        (["session", id], Method::DELETE) => {
+            authorize(shell, request.headers())?;
+            let resource = (*id).to_owned();
+            match shell.ask(|t| Input::Delete(t, resource)).await {
+                Answer::Ended => Ok(response(200, "", Bytes::new())),
+                _ => Err(unknown_session()),
+            }
+        }
+        (["session", _], _) => Ok(not_allowed("PATCH, DELETE, OPTIONS")),
+        (["session", id, "events"], Method::POST) => subscribe(shell, id, request).await,
+        (["session", _, "events"], Method::OPTIONS) => Ok(options("POST, OPTIONS", Some("application/json"))),
+        (["session", _, "events"], _) => Ok(not_allowed("POST, OPTIONS")),
+        (["session", id, "events", "stream"], Method::GET) => {
+            authorize(shell, request.headers())?;
+            if !matches!(shell.route(id).0, Route::Node(..)) {
+                return Err(unknown_session());
+            }
+            let mut r = Response::new(Events(shell.open_stream(id)).boxed());
+            set(&mut r, CONTENT_TYPE.as_str(), "text/event-stream");
+            set(&mut r, "cache-control", "no-store");
+            Ok(r)
+        }
+        (["session", _, "events", "stream"], _) => Ok(not_allowed("GET")),
+        _ => Err(Problem::new(
+            404,
+            "path",
+            "Not found",
+            "sessions are asked for at /whep/{title} or /whip/{title}",
+        )),
+    }
+}
+
+fn unknown_session() -> Problem {
+    Problem::new(404, "session", "No such session", "it has ended, or never was")
+}
+
+/// Query arguments, decoded; the first of a name counts.
+fn query<'a>(request: &'a Request<Incoming>, name: &str) -> Option<std::borrow::Cow<'a, str>> {
+    let all = request.uri().query()?;
+    let value = all.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1;
+    let decoded = percent_encoding::percent_decode_str(value).decode_utf8().ok()?;
+    (decoded.len() <= NAME).then_some(decoded)
+}
+
+/// Turns a checked POST into what the engine is asked.
+fn ask_of(
+    shell: &Shell,
+    publish: bool,
+    title: &str,
+    request: &Request<Incoming>,
+    token: Option<&Token>,
+) -> Result<Ask, Problem> {
+    let config = &shell.config;
+    let bad = |what: String| Problem::new(400, "query", "Bad query", what);
+    let name = percent_encoding::percent_decode_str(title).decode_utf8_lossy().into_owned();
+    let place = config.titles.get(&name).filter(|t| t.copies > 0);
+    let place =
+        place.ok_or_else(|| Problem::new(404, "title", "No such title", "nobody holds this title"))?;
+    if token.is_some_and(|t| publish && !t.publish) {
+        return Err(Problem::new(403, "token", "Not allowed", "this token may not publish"));
+    }
+    let class = match query(request, "class") {
+        _ if publish => config.classes.iter().position(|c| c.ingest),
+        Some(name) => config.classes.iter().position(|c| c.name == *name && !c.ingest),
+        None => Some(usize::from(place.class)),
+    };
+    let class = class.ok_or_else(|| match publish {
+        true => Problem::new(405, "publish", "Publishing is not offered", "there is no class for ingest"),
+        false => bad("there is no such class".into()),
+    })?;
+    let tenant = match (token, query(request, "tenant")) {
+        (Some(token), _) => usize::from(token.tenant),
+        (None, Some(name)) => config
+            .tenants
+            .iter()
+            .position(|t| *t == name)
+            .ok_or_else(|| bad("there is no such tenant".into()))?,
+        (None, None) => 0,
+    };
+    let top = match query(request, "top") {
+        Some(top) => top.parse::<u8>().map_err(|_| bad("'top' is a rung, a number from 0 to 255".into()))?,
+        None => u8::MAX,
+    };
+    let top = token.and_then(|t| t.top).map_or(top, |most| top.min(most));
+    let viewer = match query(request, "viewer") {
+        // Tokens keep the names of their viewers apart.
+        Some(v) => name_hash(&format!("{}\n{v}\n{name}\n{publish}", token.map_or("", |t| &t.name))),
+        None => rand::random(),
+    };
+    Ok(Ask {
+        offer: Bytes::new(),
+        offer_hash: 0,
+        name: title.to_owned(),
+        title: place.id,
+        home: place.home,
+        copies: place.copies,
+        class: class as u16,
+        tenant: tenant as u16,
+        viewer: ViewerKey(viewer),
+        top,
+        publish,
+    })
+}
+
+async fn post(
+    shell: &Rc<Shell>,
+    publish: bool,
+    title: &str,
+    request: Request<Incoming>,
+) -> Result<Response<Out>, Problem> {
+    let token = authorize(shell, request.headers())?;
+    if !is_type(request.headers(), SDP_TYPE) {
+        return Err(wrong_type(SDP_TYPE));
+    }
+    let mut ask = ask_of(shell, publish, title, &request, token)?;
+    let offer = body(request.into_body(), &shell.config.limits).await?;
+    let way = if publish { Direction::Send } else { Direction::Receive };
+    let checked = Offer::parse(&offer, way)
+        .map_err(|e| Problem::new(400, "offer", "The offer cannot be served", e.to_string()))?;
+    ask.offer_hash = name_hash(&checked.raw);
+    ask.offer = offer;
+    let span = info_span!("session", title, viewer = format!("{:016x}", ask.viewer.0), publish);
+    let answer = async {
+        let answer = shell.ask(|t| Input::Post(t, ask)).await;
+        debug!(event = "answered", answer = kind(&answer), "a request was answered");
+        answer
+    }
+    .instrument(span)
+    .await;
+    let Answer::Created { resource, etag, sdp, ice } = answer else { return Err(problem_of(&answer)) };
+    let mut r = response(201, SDP_TYPE, sdp);
+    set(&mut r, LOCATION.as_str(), &format!("/session/{resource}"));
+    if let Some(etag) = etag {
+        set(&mut r, ETAG.as_str(), &etag);
+    }
+    for link in ice {
+        add(&mut r, LINK.as_str(), &link);
+    }
+    let events =
+        format!("</session/{resource}/events>; rel=\"{REL_EVENTS}\"; events=\"inactive,{EVENT_MOVE}\"");
+    add(&mut r, LINK.as_str(), &events);
+    Ok(r)
+}
+
+fn kind(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Created { .. } => "playing",
+        Answer::Refused(..) => "refused",
+        Answer::Failed => "failed",
+        Answer::Superseded => "superseded",
+        Answer::Unpublished => "unpublished",
+        Answer::Published => "published",
+        Answer::Ended => "ended",
+        Answer::Unknown => "unknown",
+    }
+}
+
+/// What each answer that is no 201 means to a client.
+fn problem_of(answer: &Answer) -> Problem {
+    match answer {
+        Answer::Refused(advice, why) => {
+            let (name, detail) = match why {
+                Refusal::NoRoom => ("refused", "no holder of the title has room now; a new try does no harm"),
+                Refusal::Overload => ("overload", "the front holds as many requests or sessions as it may"),
+                Refusal::Stopping => ("stopping", "the front is stopping; another one takes the request"),
+                Refusal::Copies => ("copies", "copies of this request wait for its answer already"),
+            };
+            let p = Problem::new(503, name, "Refused", detail);
+            // Without advice of the module a second is told: RFC 9725 wants Retry-After with a 503.
+            p.after(advice.map_or(1_000, |ns| ns.div_ceil(1_000_000)))
+        }
+        Answer::Superseded => {
+            Problem::new(409, "superseded", "Superseded", "a newer request of the same viewer took its place")
+        }
+        Answer::Unpublished => {
+            Problem::new(409, "unpublished", "Not published", "nobody publishes this title now")
+                .after(UNPUBLISHED_MS)
+        }
+        Answer::Published => {
+            Problem::new(409, "published", "Published already", "another session publishes this title")
+        }
+        Answer::Unknown => unknown_session(),
+        _ => Problem::new(504, "failed", "The set-up failed", "no node set the session up in time"),
+    }
+}
+
+async fn patch(shell: &Rc<Shell>, id: &str, request: Request<Incoming>) -> Result<Response<Out>, Problem> {
+    authorize(shell, request.headers())?;
+    let is_answer = is_type(request.headers(), SDP_TYPE);
+    if !is_answer && !is_type(request.headers(), FRAGMENT_TYPE) {
+        return Err(wrong_type(FRAGMENT_TYPE));
+    }
+    let tag = request.headers().get(IF_MATCH).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    if tag.is_none() && !is_answer {
+        return Err(Problem::new(428, "if-match", "Precondition required", "If-Match names the ICE session"));
+    }
+    let bytes = body(request.into_body(), &shell.config.limits).await?;
+    if !is_answer {
+        Fragment::parse(&bytes).map_err(|e| Problem::new(422, "fragment", "Bad fragment", e.to_string()))?;
+    }
+    // The session may have been moved while the body came: it is looked up now, not before.
+    let (node, path) = match shell.route(id) {
+        (Route::Node(_, path), Some(address)) => (address, path),
+        (Route::Moved, _) => {
+            return Err(Problem::new(409, "moved", "Moved", "this session is being moved: POST again"));
+        }
+        _ => return Err(unknown_session()),
+    };
+    let kind = if is_answer { SDP_TYPE } else { FRAGMENT_TYPE };
+    let through = shell.upstream().patch(node, &path, kind, tag.as_deref(), bytes, PATCH_TIME).await;
+    let (status, etag, kind, bytes) = through.map_err(|_| {
+        Problem::new(504, "node", "The node did not answer", "the change may or may not be in force")
+    })?;
+    let mut r = response(status, kind.as_deref().unwrap_or(""), bytes);
+    if let Some(etag) = etag {
+        set(&mut r, ETAG.as_str(), &etag);
+    }
+    Ok(r)
+}
+
+async fn subscribe(
+    shell: &Rc<Shell>,
+    id: &str,
+    request: Request<Incoming>,
+) -> Result<Response<Out>, Problem> {
+    authorize(shell, request.headers())?;
+    if !is_type(request.headers(), "application/json") {
+        return Err(wrong_type("application/json"));
+    }
+    let bytes = body(request.into_body(), &shell.config.limits).await?;
+    let wanted: Result<Vec<String>, _> = serde_json::from_slice(&bytes);
+    wanted.map_err(|_| Problem::new(400, "events", "Bad list", "a JSON list of event names is expected"))?;
+    match shell.route(id).0 {
+        Route::Node(..) => {
+            let mut r = response(201, "", Bytes::new());
+            set(&mut r, LOCATION.as_str(), &format!("/session/{id}/events/stream"));
+            Ok(r)
+        }
+        _ => Err(unknown_session()),
+    }
+}
--- /dev/null
+++ b/crates/front/src/shell.rs
@@ -0,0 +1,435 @@
+//! Carries out what the engine says: timers, sockets, answers. It decides nothing.
+
+use crate::engine::types::*;
+use crate::engine::{Engine, Snapshot};
+use crate::upstream::{Hold, Upstream};
+use crate::{console, listener};
+use pepperhook::{ServerId, Time};
+use pepperhook_inventory::{Keeper, Look, Node};
+use pepperhook_settings::Config;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// Unix time in nanoseconds that never goes back: read once, then counted by the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Time,
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts at the system's time.
+    #[must_use]
+    pub fn new() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Time);
+        Self { base, start: Instant::now() }
+    }
+
+    /// Now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.base.saturating_add(self.start.elapsed().as_nanos() as Time)
+    }
+
+    fn instant(&self, at: Time) -> Instant {
+        self.start + Duration::from_nanos(at.saturating_sub(self.base))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Events of one viewer that wait to be read, at most; a viewer who does not read loses the later ones.
+const EVENTS_KEPT: usize = 16;
+/// What is still to be told to nodes when the front stops takes so long at most.
+const LAST_WORDS: Duration = Duration::from_millis(800);
+
+/// Rungs on their way to a node: the latest counts, one request at a time.
+type Layers = HashMap<(ServerId, String), Option<u8>>;
+
+/// One running front.
+pub struct Shell {
+    /// Its settings.
+    pub config: Rc<Config>,
+    /// Its clock.
+    pub clock: Clock,
+    /// Key of the console.
+    pub admin_key: String,
+    engine: RefCell<Engine>,
+    next_ticket: Cell<u64>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    attempts: RefCell<HashMap<AttemptId, (Hold, JoinHandle<()>)>>,
+    streams: RefCell<HashMap<String, mpsc::Sender<String>>>,
+    layers: RefCell<Layers>,
+    /// Requests to nodes that nobody waits for.
+    errands: Cell<usize>,
+    upstream: Upstream,
+    wake: Notify,
+    idle: Notify,
+}
+
+/// Withdraws a waiting request when its connection goes.
+pub struct Waiting {
+    shell: Rc<Shell>,
+    ticket: Ticket,
+    answered: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.answered && self.shell.waiting.borrow_mut().remove(&self.ticket).is_some() {
+            self.shell.drive(Input::Left(self.ticket));
+        }
+    }
+}
+
+impl Shell {
+    /// Hands the engine an input and carries out what it answers.
+    pub fn drive(self: &Rc<Self>, input: Input) {
+        let mut out = Vec::new();
+        self.engine.borrow_mut().handle(self.clock.now(), input, &mut out);
+        self.carry_out(out);
+    }
+
+    /// Asks, and waits for the one answer.
+    pub async fn ask(self: &Rc<Self>, input: impl FnOnce(Ticket) -> Input) -> Answer {
+        let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
+        let (tell, told) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, tell);
+        let mut waiting = Waiting { shell: self.clone(), ticket, answered: false };
+        self.drive(input(ticket));
+        let answer = told.await.unwrap_or(Answer::Failed);
+        waiting.answered = true;
+        answer
+    }
+
+    /// Where a request on a session goes: the node's address and the path there.
+    pub fn route(&self, resource: &str) -> (Route, Option<SocketAddr>) {
+        let engine = self.engine.borrow();
+        let route = engine.route(resource);
+        let node = if let Route::Node(id, _) = &route { engine.node(*id) } else { None };
+        let address = node.map(|n| n.address);
+        (route, address)
+    }
+
+    /// The client of the nodes.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Opens the event stream of a session; an earlier one of the same session ends.
+    pub fn open_stream(&self, resource: &str) -> mpsc::Receiver<String> {
+        let (tell, told) = mpsc::channel(EVENTS_KEPT);
+        self.streams.borrow_mut().insert(resource.to_owned(), tell);
+        told
+    }
+
+    /// What the console shows.
+    pub fn snapshot(&self) -> Snapshot {
+        self.engine.borrow().snapshot(self.clock.now())
+    }
+
+    fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Answer(ticket, answer) => self.answer(ticket, answer),
+                Effect::SetUp { attempt, node, title, publish, offer } => {
+                    self.set_up(attempt, node, title, publish, offer);
+                }
+                Effect::CloseAttempt(id) => {
+                    if let Some((hold, _)) = self.attempts.borrow().get(&id) {
+                        hold.close();
+                    }
+                }
+                Effect::ResetAttempt(id) => {
+                    if let Some((hold, task)) = self.attempts.borrow_mut().remove(&id) {
+                        hold.reset();
+                        task.abort();
+                    }
+                }
+                Effect::DeleteUpstream(node, path) => {
+                    if let Some(address) = self.address(node) {
+                        let shell = self.clone();
+                        self.errand(async move { shell.upstream.delete(address, &path).await });
+                    }
+                }
+                Effect::SetLayer(node, path, rung) => self.set_layer(node, path, rung),
+                Effect::Subscribe(node, path) => self.follow(node, path),
+                Effect::Tell(resource, event, data) => {
+                    if let Some(stream) = self.streams.borrow().get(&resource) {
+                        // A full stream belongs to a viewer who does not read it.
+                        let _ = stream.try_send(pepperhook_signalling::write_event(event, &data));
+                    }
+                }
+                Effect::Drop(resource) => {
+                    self.streams.borrow_mut().remove(&resource);
+                }
+                Effect::Log(line) => info!(event = "decision", "{line}"),
+            }
+        }
+        self.wake.notify_one();
+        self.idle.notify_one();
+    }
+
+    fn address(&self, node: ServerId) -> Option<SocketAddr> {
+        self.engine.borrow().node(node).map(|n| n.address)
+    }
+
+    fn answer(self: &Rc<Self>, ticket: Ticket, answer: Answer) {
+        let Some(tell) = self.waiting.borrow_mut().remove(&ticket) else { return };
+        if let Err(Answer::Created { resource, .. }) = tell.send(answer) {
+            let shell = self.clone();
+            spawn_local(async move { shell.drive(Input::Undelivered(resource)) });
+        }
+    }
+
+    fn errand(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
+        let shell = self.clone();
+        self.errands.set(self.errands.get() + 1);
+        spawn_local(async move {
+            work.await;
+            shell.errands.set(shell.errands.get() - 1);
+            shell.idle.notify_one();
+        });
+    }
+
+    fn set_up(
+        self: &Rc<Self>,
+        id: AttemptId,
+        node: ServerId,
+        title: String,
+        publish: bool,
+        offer: bytes::Bytes,
+    ) {
+        let (shell, hold) = (self.clone(), Hold::default());
+        let held = hold.clone();
+        let address = self.address(node);
+        let task = spawn_local(async move {
+            let end = match address {
+                Some(address) => shell.upstream.set_up(address, publish, &title, offer, &held).await,
+                None => AttemptEnd::NoConnection,
+            };
+            shell.attempts.borrow_mut().remove(&id);
+            shell.drive(Input::Attempt(id, node, end));
+        });
+        self.attempts.borrow_mut().insert(id, (hold, task));
+    }
+
+    fn set_layer(self: &Rc<Self>, node: ServerId, path: String, rung: u8) {
+        let Some(address) = self.address(node) else { return };
+        let key = (node, path);
+        if let Some(next) = self.layers.borrow_mut().get_mut(&key) {
+            *next = Some(rung);
+            return;
+        }
+        self.layers.borrow_mut().insert(key.clone(), None);
+        let shell = self.clone();
+        self.errand(async move {
+            let mut rung = rung;
+            loop {
+                if !shell.upstream.set_layer(address, &key.1, rung).await {
+                    warn!(event = "layer-not-set", rung, "a node did not take a rung");
+                }
+                let next = shell.layers.borrow_mut().get_mut(&key).and_then(Option::take);
+                match next {
+                    Some(next) => rung = next,
+                    None => break,
+                }
+            }
+            shell.layers.borrow_mut().remove(&key);
+        });
+    }
+
+    fn follow(self: &Rc<Self>, node: ServerId, path: String) {
+        let (shell, address) = (self.clone(), self.address(node));
+        spawn_local(async move {
+            let end = match address {
+                Some(address) => {
+                    let each = |news| shell.drive(Input::News(node, news));
+                    shell.upstream.follow(address, &path, each).await
+                }
+                None => StreamEnd::NoConnection,
+            };
+            // A node that closes its streams as they open must not be asked in a tight loop.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            shell.drive(Input::StreamEnded(node, end));
+        });
+    }
+
+    /// Runs the engine's timers.
+    async fn timers(self: Rc<Self>) {
+        loop {
+            let next = self.engine.borrow().next_wake();
+            let sleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {
+                    let mut out = Vec::new();
+                    self.engine.borrow_mut().wake(self.clock.now(), &mut out);
+                    self.carry_out(out);
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Looks at the list of nodes.
+    async fn watch(self: Rc<Self>, mut keeper: Keeper) {
+        let mut ticks = tokio::time::interval(Duration::from_nanos(self.config.inventory_poll));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            match keeper.look() {
+                Look::Same | Look::Changing => {}
+                Look::New(nodes) => {
+                    info!(event = "inventory-taken", nodes = nodes.len(), "a new list of nodes is in force");
+                    self.drive(Input::Nodes(nodes));
+                }
+                Look::Bad(faults) => {
+                    for fault in faults.iter().take(10) {
+                        warn!(event = "inventory-fault", "{fault}");
+                    }
+                    warn!(
+                        event = "inventory-kept",
+                        faults = faults.len(),
+                        "the last good list stays in force"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// A front that listens.
+pub struct Front {
+    shell: Rc<Shell>,
+    address: SocketAddr,
+    admin: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    close: watch::Sender<bool>,
+}
+
+impl Front {
+    /// Binds the listeners and starts to serve, within a `LocalSet`. `nodes` is the list to start with; `keeper`
+    /// looks for later ones.
+    ///
+    /// # Errors
+    /// When an address cannot be bound, or the module does not take its settings.
+    pub async fn start(
+        config: Config,
+        seed: u64,
+        nodes: Vec<Node>,
+        keeper: Option<Keeper>,
+    ) -> io::Result<Self> {
+        let config = Rc::new(config);
+        let engine =
+            Engine::new(config.clone(), seed).map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
+        let listener = TcpListener::bind(config.listen).await?;
+        let admin = TcpListener::bind(config.admin).await?;
+        let (address, admin_address) = (listener.local_addr()?, admin.local_addr()?);
+        let key = config.admin_key.clone().unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let upstream = Upstream::new(&config.name, Duration::from_nanos(config.connect_time));
+        let shell = Rc::new(Shell {
+            clock: Clock::new(),
+            admin_key: key,
+            engine: RefCell::new(engine),
+            next_ticket: Cell::new(1),
+            waiting: RefCell::default(),
+            attempts: RefCell::default(),
+            streams: RefCell::default(),
+            layers: RefCell::default(),
+            errands: Cell::new(0),
+            upstream,
+            wake: Notify::new(),
+            idle: Notify::new(),
+            config,
+        });
+        shell.drive(Input::Nodes(nodes));
+        let (close, closed) = watch::channel(false);
+        let mut tasks = vec![
+            spawn_local(shell.clone().timers()),
+            spawn_local(listener::serve(shell.clone(), listener, closed.clone())),
+            spawn_local(console::serve(shell.clone(), admin, closed)),
+        ];
+        tasks.extend(keeper.map(|k| spawn_local(shell.clone().watch(k))));
+        info!(event = "serving", address = %address, admin = %admin_address, "the front serves");
+        Ok(Self { shell, address, admin: admin_address, tasks, close })
+    }
+
+    /// Where viewers come.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the console, with its key.
+    #[must_use]
+    pub fn console_url(&self) -> String {
+        format!("http://{}/console?key={}", self.admin, self.shell.admin_key)
+    }
+
+    /// The console's address alone.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// What the console shows.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        self.shell.snapshot()
+    }
+
+    /// Stops: new requests are refused, those taken get their answer, sessions end, connections close. Takes
+    /// the longest patience and two seconds at most.
+    pub async fn stop(self) {
+        let shell = &self.shell;
+        info!(event = "stopping", waiting = shell.snapshot().waiting, "no new requests are taken");
+        shell.engine.borrow_mut().stop();
+        let longest = shell.config.classes.iter().map(|c| c.patience).max().unwrap_or(0);
+        let idle = async {
+            while !shell.engine.borrow().is_idle() {
+                shell.idle.notified().await;
+            }
+        };
+        if tokio::time::timeout(Duration::from_nanos(longest), idle).await.is_err() {
+            warn!(event = "stopped-busy", "requests were still open after the longest patience");
+        }
+        let mut out = Vec::new();
+        shell.engine.borrow_mut().end_all(shell.clock.now(), &mut out);
+        shell.carry_out(out);
+        let done = async {
+            while shell.errands.get() > 0 {
+                shell.idle.notified().await;
+            }
+        };
+        let _ = tokio::time::timeout(LAST_WORDS, done).await;
+        // Connections finish what they are writing.
+        let _ = self.close.send(true);
+        let _ = tokio::time::timeout(Duration::from_secs(1), self.close.closed()).await;
+        self.tasks.iter().for_each(JoinHandle::abort);
+        info!(event = "stopped", "the front has stopped");
+    }
+
+    /// Stops at once, as if killed.
+    pub fn abort(self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
