--- /dev/null
+++ b/crates/rehearse/src/conduct/mod.rs
@@ -0,0 +1,189 @@
+//! Conducts a day: fronts and nodes as processes on loopback, viewers, troubles by the clock.
+
+mod fleet;
+mod troubles;
+
+use crate::checker::{Breach, Terms, judge};
+use crate::day::{Day, Kind};
+use crate::report::{Report, sum_up};
+use crate::viewers::{Audience, FrontAt};
+use fleet::World;
+use pepperhook_playout::record::{self, Line, Recorder, What};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Why a day could not be played.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// A file or a process.
+    #[error("{0}: {1}")]
+    Io(String, io::Error),
+    /// A process did not come up.
+    #[error("{0} did not come up: {1}")]
+    Start(String, String),
+    /// The day is out of bounds.
+    #[error("the day cannot be played: {0}")]
+    Day(String),
+}
+
+/// What a day came to.
+pub struct Outcome {
+    /// Figures.
+    pub report: Report,
+    /// Rules broken.
+    pub breaches: Vec<Breach>,
+    /// The whole record.
+    pub lines: Vec<Line>,
+}
+
+/// Grace of drains, seconds: the brief's.
+const DRAIN_GRACE_S: f64 = 0.25;
+/// Two looks of a front at its list, a tenth of a second apart, and the processes' own scheduling.
+const LIST_READ_S: f64 = 0.35;
+/// The rule on cold nodes: this multiple for so long.
+pub(crate) const FALL: (f64, f64) = (2.5, 2.0);
+/// After the last arrival the run goes on for so long, for those who wait.
+const TAIL: Duration = Duration::from_secs(2);
+
+/// Plays a day with `program` as front and node, leaving its files in `dir`; `tell` gets a line a second.
+///
+/// # Errors
+/// When a process does not come up or a file cannot be written. A broken rule is no error: it is in the outcome.
+pub async fn play(
+    day: &Day,
+    program: &Path,
+    dir: &Path,
+    tell: impl Fn(String) + 'static,
+) -> Result<Outcome, Fault> {
+    day.check().map_err(Fault::Day)?;
+    let log = dir.join("viewers.jsonl");
+    let recorder = Recorder::to_file("viewers", &log).map_err(|e| Fault::Io(log.display().to_string(), e))?;
+    let world =
+        World::start(day.clone(), program.to_owned(), dir.to_owned(), recorder.under("conductor")).await?;
+    let fronts: Vec<FrontAt> = world.fronts();
+    let audience = Audience::new(day.viewers.clone(), "replay", fronts, recorder);
+    world.audience.borrow_mut().replace(audience.clone());
+
+    let mut tasks = vec![spawn_local(world.clone().publish()), spawn_local(world.clone().share_uplinks())];
+    let begin = Instant::now();
+    for (i, trouble) in day.troubles.iter().cloned().enumerate() {
+        let world = world.clone();
+        tasks.push(spawn_local(async move {
+            sleep_until(begin + Duration::from_secs_f64(trouble.at_s)).await;
+            if let Err(e) = troubles::cause(&world, i as u64, &trouble).await {
+                world.failed(e);
+            }
+        }));
+    }
+    let heard = audience.clone();
+    tasks.push(spawn_local(async move {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            let statuses: Vec<String> =
+                heard.statuses.borrow().iter().map(|(s, n)| format!("{s}: {n}")).collect();
+            tell(format!(
+                "{:4.0} s  asked {:5}  playing {:4}  {}",
+                begin.elapsed().as_secs_f64(),
+                heard.requests.get(),
+                heard.playing.get(),
+                statuses.join("  ")
+            ));
+        }
+    }));
+
+    arrive(day, &audience, begin).await;
+    sleep(TAIL + Duration::from_secs_f64(day.viewers.patience_s)).await;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    let stopped = world.stop().await;
+    if let Some(fault) = world.failure() {
+        return Err(fault);
+    }
+    let lines = gather(dir)?;
+    let mut breaches = judge(&lines, &terms(day));
+    for (front, how) in stopped {
+        let what = format!("{front} did not stop in order: {how}");
+        breaches.push(Breach { rule: crate::checker::Rule::OneAnswer, t: record::now(), what });
+    }
+    let report = sum_up(&day.name, day.seed, &lines, &breaches, day.viewers.aim_s);
+    Ok(Outcome { report, breaches, lines })
+}
+
+/// What the checker is told of the day.
+fn terms(day: &Day) -> Terms {
+    let f = &day.fleet;
+    Terms {
+        patience_s: day.viewers.patience_s,
+        list_read_s: LIST_READ_S,
+        drain_grace_s: DRAIN_GRACE_S,
+        fall_multiple: FALL.0,
+        fall_s: FALL.1,
+        floor: f.floor,
+        seats: f.seats,
+        once: f.repeat == "never",
+        budget: f.budget,
+    }
+}
+
+/// Viewers come at random, more of them in a burst, some titles far more wanted than others.
+async fn arrive(day: &Day, audience: &Rc<Audience>, begin: Instant) {
+    let mut rng = StdRng::seed_from_u64(day.seed);
+    let titles = day.viewers.titles;
+    let (mut at, mut n) = (0.0, 0u64);
+    loop {
+        let (mut rate, mut hot) = (day.viewers.rate, None);
+        for t in day.troubles.iter().filter(|t| (t.at_s..t.at_s + t.for_s).contains(&at)) {
+            match t.kind {
+                Kind::Burst { times } => rate *= times,
+                Kind::HotTitle { titles, rate: more } => {
+                    hot = Some((titles, more / (rate + more)));
+                    rate += more;
+                }
+                _ => {}
+            }
+        }
+        let Ok(gap) = Exp::new(rate.max(0.001)) else { return };
+        at += gap.sample(&mut rng);
+        if at >= day.length_s {
+            break;
+        }
+        n += 1;
+        // Popularity falls with the square root of the rank, roughly.
+        let usual = ((rng.random::<f64>().powi(2)) * f64::from(titles)) as u32;
+        let title = match hot {
+            Some((few, share)) if rng.random_bool(share.clamp(0.0, 1.0)) => {
+                rng.random_range(0..few.clamp(1, titles))
+            }
+            _ => usual.min(titles - 1),
+        };
+        sleep_until(begin + Duration::from_secs_f64(at)).await;
+        spawn_local(audience.clone().view(n, day.seed, title));
+    }
+    sleep_until(begin + Duration::from_secs_f64(day.length_s)).await;
+}
+
+/// All records of a run.
+fn gather(dir: &Path) -> Result<Vec<Line>, Fault> {
+    let named = |p: &Path, e| Fault::Io(p.display().to_string(), e);
+    let mut lines = Vec::new();
+    for entry in std::fs::read_dir(dir).map_err(|e| named(dir, e))? {
+        let path: PathBuf = entry.map_err(|e| named(dir, e))?.path();
+        if path.extension().is_some_and(|e| e == "jsonl") {
+            lines.extend(record::read(&path).map_err(|e| named(&path, e))?);
+        }
+    }
+    lines.sort_by_key(|l| l.t);
+    Ok(lines)
+}
+
+/// Writes what a trouble was, for the reader of a record.
+fn note(recorder: &Recorder, kind: &str, detail: String) {
+    recorder.write(What::Fault { kind: kind.into(), detail });
+}
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,1 +1,16 @@
-//! x
+//! Rehearsals on loopback: scripted viewers, faults by the clock, a record of what passed on the sockets, and
+//! a checker that judges the six rules from that record alone.
+//!
+//! - [`day`]: a day as a file: fleet, arrivals, troubles. [`day::bad_day`] makes one from a seed.
+//! - [`wire`]: HTTP as the viewers speak it, on bare sockets, apart from the front's own library.
+//! - [`viewers`]: those who ask, play, come again and leave.
+//! - [`conduct`]: starts fronts and nodes as processes and causes the troubles.
+//! - [`checker`]: the rules. It shares no code with the front; what it knows is in the record.
+//! - [`report`]: figures of a run.
+
+pub mod checker;
+pub mod conduct;
+pub mod day;
+pub mod report;
+pub mod viewers;
+pub mod wire;
--- /dev/null
+++ b/crates/rehearse/src/report.rs
@@ -0,0 +1,89 @@
+//! Figures of a run, from the record.
+
+use crate::checker::Breach;
+use hdrhistogram::Histogram;
+use pepperhook_playout::record::{Line, What};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a run came to. All figures are simulated: the nodes are stand-ins.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The day.
+    pub day: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Requests.
+    pub requests: u64,
+    /// Answers by kind; what was left without one by how that came.
+    pub answers: BTreeMap<String, u64>,
+    /// Attempts at nodes.
+    pub attempts: u64,
+    /// Rules broken; empty where all were kept.
+    pub rules_broken: Vec<String>,
+    /// Median set-up of sessions that played, milliseconds.
+    pub set_up_p50_ms: f64,
+    /// 99 in 100 took less, milliseconds.
+    pub set_up_p99_ms: f64,
+    /// Share of the sessions that played which did so within the aim.
+    pub within_aim: f64,
+    /// Share of all requests that played within the aim.
+    pub served_within_aim: f64,
+    /// Rung changes at nodes, the first of each session not counted.
+    pub rung_changes: u64,
+}
+
+/// Sums a record up.
+#[must_use]
+pub fn sum_up(day: &str, seed: u64, lines: &[Line], breaches: &[Breach], aim_s: f64) -> Report {
+    let mut asked = BTreeMap::new();
+    let (mut answers, mut attempts, mut layers) =
+        (BTreeMap::<String, u64>::new(), 0, BTreeMap::<&str, u64>::new());
+    let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("constant bounds");
+    let mut within = 0u64;
+    let mut lines: Vec<&Line> = lines.iter().collect();
+    lines.sort_by_key(|l| l.t);
+    for line in lines {
+        let mut count = |kind: &str| *answers.entry(kind.to_owned()).or_default() += 1;
+        match &line.what {
+            What::Asked { request, .. } => {
+                asked.insert(*request, line.t);
+            }
+            What::Reply { request, status, .. } => {
+                count(match status {
+                    201 => "playing",
+                    503 => "refused",
+                    504 => "failed",
+                    409 => "superseded",
+                    _ => "other",
+                });
+                if let (201, Some(t)) = (status, asked.get(request)) {
+                    let took = line.t.saturating_sub(*t);
+                    times.saturating_record(took / 1_000);
+                    within += u64::from(took as f64 <= aim_s * 1e9);
+                }
+            }
+            What::Broke { .. } => count("broke"),
+            What::GaveUp { .. } => count("gave-up"),
+            What::Hung { .. } => count("left"),
+            What::Attempt { .. } => attempts += 1,
+            What::Layer { origin, .. } => *layers.entry(origin).or_default() += 1,
+            _ => {}
+        }
+    }
+    let ms = |q| times.value_at_quantile(q) as f64 / 1_000.0;
+    let share = |n: u64, of: u64| if of == 0 { 0.0 } else { n as f64 / of as f64 };
+    Report {
+        day: day.to_owned(),
+        seed,
+        requests: asked.len() as u64,
+        answers,
+        attempts,
+        rules_broken: breaches.iter().map(ToString::to_string).collect(),
+        set_up_p50_ms: ms(0.5),
+        set_up_p99_ms: ms(0.99),
+        within_aim: share(within, times.len()),
+        served_within_aim: share(within, asked.len() as u64),
+        rung_changes: layers.values().map(|n| n - 1).sum(),
+    }
+}
