--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -1,8 +1,8 @@
 //! What both listeners share: responses, bodies within their bounds, and the loop that accepts connections.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -57,23 +57,42 @@
     r
 }
 
+/// What is read and thrown away past the bound, so that a client that sends all before it reads still hears
+/// why it was turned away.
+const DISCARDED: usize = 16 << 20;
+
 /// Reads a body within its bounds.
 ///
 /// # Errors
 /// 413 past the bound, 408 past the time, 400 where it breaks off.
-pub async fn body(incoming: Incoming, limits: &Limits) -> Result<Bytes, Problem> {
-    let whole = Limited::new(incoming, limits.body).collect();
-    match tokio::time::timeout(Duration::from_nanos(limits.body_time), whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            let detail = format!("bodies of {} bytes at most are taken", limits.body);
-            Err(Problem::new(413, "body-too-large", "The body is too large", detail))
+pub async fn body(mut incoming: Incoming, limits: &Limits) -> Result<Bytes, Problem> {
+    let (mut kept, mut length) = (BytesMut::new(), 0usize);
+    let whole = async {
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| {
+                Problem::new(400, "body-broken", "The body broke off", "the body did not come whole")
+            })?;
+            let Some(data) = frame.data_ref() else { continue };
+            length = length.saturating_add(data.len());
+            if length <= limits.body {
+                kept.extend_from_slice(data);
+            } else if length > DISCARDED {
+                break;
+            }
         }
-        Ok(Err(_)) => {
-            Err(Problem::new(400, "body-broken", "The body broke off", "the body did not come whole"))
+        Ok(())
+    };
+    match tokio::time::timeout(Duration::from_nanos(limits.body_time), whole).await {
+        Ok(read) => read?,
+        Err(_) => {
+            return Err(Problem::new(408, "body-slow", "The body took too long", "send the body at once"));
         }
-        Err(_) => Err(Problem::new(408, "body-slow", "The body took too long", "send the body at once")),
     }
+    if length > limits.body {
+        let detail = format!("bodies of {} bytes at most are taken", limits.body);
+        return Err(Problem::new(413, "body-too-large", "The body is too large", detail));
+    }
+    Ok(kept.freeze())
 }
 
 /// A body of server-sent events.
