--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -139,6 +139,6 @@
         let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
         sleep(Duration::from_secs_f64(gap)).await;
         let title = (rng.random::<f64>().powi(2) * f64::from(TITLES)) as u32;
-        spawn_local(audience.clone().view(n, seed, title));
+        spawn_local(audience.clone().view(n, seed, title, None));
     }
 }
--- /dev/null
+++ b/crates/front/benches/engine.rs
@@ -0,0 +1,133 @@
+//! Cost of one request through the engine (POST, set-up, rung, DELETE) by the size of the fleet, without
+//! sockets: `cargo bench -p pepperhook-front`.
+
+use bytes::Bytes;
+use criterion::{BenchmarkId, Criterion, criterion_main};
+use pepperhook::{ServerId, TitleId, ViewerKey};
+use pepperhook_front::engine::Engine;
+use pepperhook_front::engine::types::*;
+use pepperhook_settings::Config;
+use pepperhook_signalling::LoadReport;
+use std::hint::black_box;
+use std::rc::Rc;
+
+const MS: u64 = 1_000_000;
+/// Sessions held on each node meanwhile.
+const HELD: u64 = 5;
+
+fn settings(nodes: u32) -> String {
+    format!(
+        "name bench\nlisten 127.0.0.1:0\nzones a b c\nzone a\nracks {}\ncells {nodes}\nuplink-kb 200000\nkb-per-weight 40000\n\
+         gauges streams link uplink\ninventory x\nmax-sessions 100000\n\
+         section ladder\nrung 200 0.2\nrung 350 0.42\nrung 600 0.62\nrung 1000 0.8\nrung 1800 1\n\
+         section class replay\naim 800ms\npatience 4s\nsection kind k\nstreams 600\n\
+         section rules\ncold-share 0.4\ncold 12s\nfall-multiple 2.5\nfall-window 2s\n",
+        (nodes / 4).max(1)
+    )
+}
+
+struct Run {
+    engine: Engine,
+    nodes: u32,
+    now: u64,
+    next: u64,
+    effects: Vec<Effect>,
+}
+
+impl Run {
+    fn new(nodes: u32) -> Self {
+        let config = Rc::new(Config::parse("bench", &settings(nodes)).expect("settings"));
+        let mut list = "name,address,zone,cell,kind,weight,state\n".to_owned();
+        for i in 0..nodes {
+            let zone = ["a", "b", "c"][i as usize % 3];
+            list += &format!("n{i},127.0.0.1:{},{zone},{i},k,1,ready\n", 2_000 + i);
+        }
+        let list = pepperhook_inventory::read(list.as_bytes(), &config.names).expect("a list");
+        let engine = Engine::new(config, 1).expect("an engine");
+        let mut run = Self { engine, nodes, now: 1_000_000 * MS, next: 0, effects: Vec::new() };
+        run.engine.handle(run.now, Input::Nodes(list), &mut run.effects);
+        (0..u64::from(nodes) * HELD).for_each(|_| {
+            run.set_up();
+        });
+        run
+    }
+
+    /// One session is set up on the first node that the module names; its resource.
+    fn set_up(&mut self) -> Option<String> {
+        self.next += 1;
+        self.now += MS;
+        let (n, home) = (self.next, (self.next * 7 % u64::from(self.nodes)) as u32);
+        let ask = Ask {
+            offer: Bytes::from_static(b"v=0"),
+            offer_hash: n,
+            name: format!("title-{home}"),
+            title: TitleId(u64::from(home)),
+            home,
+            copies: 4,
+            class: 0,
+            tenant: 0,
+            viewer: ViewerKey(n),
+            top: 4,
+            publish: false,
+        };
+        self.effects.clear();
+        self.engine.handle(self.now, Input::Post(Ticket(n), ask), &mut self.effects);
+        let out = self.effects.iter().find_map(|e| match e {
+            Effect::SetUp { attempt, node, .. } => Some((*attempt, *node)),
+            _ => None,
+        });
+        let (attempt, node): (AttemptId, ServerId) = out?;
+        let path = format!("/s/{n}");
+        let load = LoadReport([("link".to_owned(), 0.3), ("uplink".to_owned(), 0.3)].into());
+        let made = Created {
+            events: Some(format!("{path}/events")),
+            layer: Some(format!("{path}/layer")),
+            answer: Bytes::from_static(b"v=0"),
+            etag: None,
+            ice: Vec::new(),
+            path,
+            load,
+        };
+        self.effects.clear();
+        self.engine.handle(
+            self.now,
+            Input::Attempt(attempt, node, AttemptEnd::Created(made)),
+            &mut self.effects,
+        );
+        self.effects.iter().find_map(|e| match e {
+            Effect::Answer(_, Answer::Created { resource, .. }) => Some(resource.clone()),
+            _ => None,
+        })
+    }
+
+    fn once(&mut self) {
+        let resource = self.set_up();
+        if let Some(resource) = resource {
+            self.effects.clear();
+            self.next += 1;
+            self.engine.handle(self.now, Input::Delete(Ticket(self.next), resource), &mut self.effects);
+        }
+        self.effects.clear();
+        self.engine.wake(self.now, &mut self.effects);
+        black_box(&self.effects);
+    }
+}
+
+fn by_fleet(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    for nodes in [12, 60, 200] {
+        let mut run = Run::new(nodes);
+        group.bench_with_input(BenchmarkId::from_parameter(nodes), &nodes, |b, _| b.iter(|| run.once()));
+    }
+    group.finish();
+}
+
+// The macro makes a public function without docs.
+#[allow(missing_docs)]
+mod group {
+    use super::by_fleet;
+    use criterion::criterion_group;
+    criterion_group!(benches, by_fleet);
+}
+
+criterion_main!(group::benches);
--- a/crates/rehearse/src/conduct/fleet.rs
+++ b/crates/rehearse/src/conduct/fleet.rs
@@ -339,7 +339,10 @@
         if let Some((free, share, window)) = f.budget {
             out += &format!("budget {free} {share} {window}s\n");
         }
-        out += "section prices\nmoved 0.05\ncross-zone 0.04\n";
+        out += "section prices\nmoved 0.05\ncross-zone 0.04\nover-share-worth 0.2\n";
+        for (t, share) in f.tenants.iter().enumerate() {
+            out += &format!("section tenant tenant-{t}\nquota {}\n", share * v.rate * 1.2);
+        }
         for t in 0..v.titles {
             let home = (t * 7) % f.nodes;
             out += &format!("section title title-{t}\nhome {home}\ncopies {}\nclass replay\n", v.copies);
--- a/crates/rehearse/src/conduct/mod.rs
+++ b/crates/rehearse/src/conduct/mod.rs
@@ -138,10 +138,15 @@
     let titles = day.viewers.titles;
     let (mut at, mut n) = (0.0, 0u64);
     loop {
-        let (mut rate, mut hot) = (day.viewers.rate, None);
+        let (mut rate, mut hot, mut shares) = (day.viewers.rate, None, day.fleet.tenants.clone());
         for t in day.troubles.iter().filter(|t| (t.at_s..t.at_s + t.for_s).contains(&at)) {
             match t.kind {
                 Kind::Burst { times } => rate *= times,
+                Kind::TenantBurst { tenant, times } => {
+                    let usual = shares[tenant as usize];
+                    shares[tenant as usize] *= times;
+                    rate *= 1.0 + usual * (times - 1.0);
+                }
                 Kind::HotTitle { titles, rate: more } => {
                     hot = Some((titles, more / (rate + more)));
                     rate += more;
@@ -163,8 +168,13 @@
             }
             _ => usual.min(titles - 1),
         };
+        let mut draw = rng.random::<f64>() * shares.iter().sum::<f64>();
+        let tenant = shares.iter().position(|share| {
+            draw -= share;
+            draw < 0.0
+        });
         sleep_until(begin + Duration::from_secs_f64(at)).await;
-        spawn_local(audience.clone().view(n, day.seed, title));
+        spawn_local(audience.clone().view(n, day.seed, title, tenant));
     }
     sleep_until(begin + Duration::from_secs_f64(day.length_s)).await;
 }
--- a/crates/rehearse/src/conduct/troubles.rs
+++ b/crates/rehearse/src/conduct/troubles.rs
@@ -132,7 +132,7 @@
             }
         }
         // These change who comes; see `arrive`.
-        Kind::Burst { .. } | Kind::HotTitle { .. } => sleep(lasts).await,
+        Kind::Burst { .. } | Kind::TenantBurst { .. } | Kind::HotTitle { .. } => sleep(lasts).await,
     }
     note(&world.recorder, "ends", number.to_string());
     Ok(())
--- a/crates/rehearse/src/day.rs
+++ b/crates/rehearse/src/day.rs
@@ -57,6 +57,8 @@
     pub repeat: String,
     /// Ration of further attempts: free, share, seconds.
     pub budget: Option<(f64, f64, f64)>,
+    /// Shares of the tenants in the usual traffic; none where empty.
+    pub tenants: Vec<f64>,
 }
 
 impl Default for Fleet {
@@ -76,6 +78,7 @@
             seats: 0,
             repeat: "harmless".into(),
             budget: None,
+            tenants: Vec::new(),
         }
     }
 }
@@ -232,6 +235,13 @@
         /// Times the usual rate.
         times: f64,
     },
+    /// One tenant sends so many times its usual viewers.
+    TenantBurst {
+        /// Index of the tenant.
+        tenant: u32,
+        /// Times its usual rate.
+        times: f64,
+    },
     /// A crowd comes for few titles.
     HotTitle {
         /// Titles.
@@ -276,6 +286,9 @@
                 return Err(format!("{name} is {value}; {low} to {high} is allowed"));
             }
         }
+        if f.tenants.len() > 16 || f.tenants.iter().any(|s| !(0.0..=1.0).contains(s)) {
+            return Err("fleet.tenants holds 16 shares at most, each between 0 and 1".into());
+        }
         if !["harmless", "never"].contains(&f.repeat.as_str()) {
             return Err(format!("fleet.repeat is '{}'; harmless or never is allowed", f.repeat));
         }
@@ -293,6 +306,9 @@
                 Kind::FrontKill { fronts } | Kind::FrontStall { fronts, .. } => (&[], fronts),
                 _ => (&[], &[]),
             };
+            if matches!(t.kind, Kind::TenantBurst { tenant, .. } if tenant as usize >= f.tenants.len()) {
+                return Err(format!("troubles[{i}]: there is no such tenant"));
+            }
             if nodes.iter().any(|n| *n >= f.nodes) || fronts.iter().any(|n| *n >= f.fronts) {
                 return Err(format!("troubles[{i}]: there is no such node or front"));
             }
--- a/crates/rehearse/src/report.rs
+++ b/crates/rehearse/src/report.rs
@@ -4,7 +4,7 @@
 use hdrhistogram::Histogram;
 use pepperhook_playout::record::{Line, What};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a run came to. All figures are simulated: the nodes are stand-ins.
 #[derive(Clone, Debug, Serialize)]
@@ -27,8 +27,12 @@
     pub set_up_p99_ms: f64,
     /// Share of the sessions that played which did so within the aim.
     pub within_aim: f64,
-    /// Share of all requests that played within the aim.
+    /// Share of all requests that played within the aim; who comes again counts each time.
     pub served_within_aim: f64,
+    /// Viewers, each for its title; who comes again is one.
+    pub viewers: u64,
+    /// Share of the viewers who came to play, whenever that was.
+    pub viewers_served: f64,
     /// Rung changes at nodes, the first of each session not counted.
     pub rung_changes: u64,
 }
@@ -41,13 +45,15 @@
         (BTreeMap::<String, u64>::new(), 0, BTreeMap::<&str, u64>::new());
     let mut times = Histogram::<u64>::new_with_max(60_000_000, 3).expect("constant bounds");
     let mut within = 0u64;
+    let (mut viewers, mut served) = (BTreeSet::new(), BTreeSet::new());
     let mut lines: Vec<&Line> = lines.iter().collect();
     lines.sort_by_key(|l| l.t);
     for line in lines {
         let mut count = |kind: &str| *answers.entry(kind.to_owned()).or_default() += 1;
         match &line.what {
-            What::Asked { request, .. } => {
-                asked.insert(*request, line.t);
+            What::Asked { request, session, .. } => {
+                asked.insert(*request, (line.t, session));
+                viewers.insert(session);
             }
             What::Reply { request, status, .. } => {
                 count(match status {
@@ -57,7 +63,8 @@
                     409 => "superseded",
                     _ => "other",
                 });
-                if let (201, Some(t)) = (status, asked.get(request)) {
+                if let (201, Some((t, session))) = (status, asked.get(request)) {
+                    served.insert(*session);
                     let took = line.t.saturating_sub(*t);
                     times.saturating_record(took / 1_000);
                     within += u64::from(took as f64 <= aim_s * 1e9);
@@ -84,6 +91,8 @@
         set_up_p99_ms: ms(0.99),
         within_aim: share(within, times.len()),
         served_within_aim: share(within, asked.len() as u64),
+        viewers: viewers.len() as u64,
+        viewers_served: share(served.len() as u64, viewers.len() as u64),
         rung_changes: layers.values().map(|n| n - 1).sum(),
     }
 }
--- a/crates/rehearse/src/viewers.rs
+++ b/crates/rehearse/src/viewers.rs
@@ -51,6 +51,14 @@
     out
 }
 
+/// Who asks for what.
+#[derive(Clone)]
+struct Viewer {
+    n: u64,
+    title: u32,
+    path: String,
+}
+
 /// How one try went on.
 enum Then {
     /// It is over for this viewer.
@@ -75,14 +83,16 @@
     }
 
     /// Viewer `n` comes for a title and stays until it is done with it; five tries at most.
-    pub async fn view(self: Rc<Self>, n: u64, seed: u64, title: u32) {
+    pub async fn view(self: Rc<Self>, n: u64, seed: u64, title: u32, tenant: Option<usize>) {
         let mut rng = StdRng::seed_from_u64(seed ^ n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let (low, high) = self.crowd.plays_s;
         let mut left = Duration::from_secs_f64(rng.random_range(low..=high));
         let top: u8 = if rng.random_bool(0.25) { 2 } else { 4 };
+        let tenant = tenant.map_or(String::new(), |t| format!("&tenant=tenant-{t}"));
+        let viewer = Viewer { n, title, path: format!("/whep/title-{title}?viewer=v{n}&top={top}{tenant}") };
         for _ in 0..5 {
             let began = Instant::now();
-            match self.one_try(n, title, top, left, &mut rng).await {
+            match self.one_try(&viewer, left, &mut rng).await {
                 Then::Done => return,
                 Then::Again(_) if !rng.random_bool(self.crowd.returns) => return,
                 Then::Again(pause) => {
@@ -101,7 +111,7 @@
         self.requests.get()
     }
 
-    async fn one_try(self: &Rc<Self>, n: u64, title: u32, top: u8, left: Duration, rng: &mut StdRng) -> Then {
+    async fn one_try(self: &Rc<Self>, viewer: &Viewer, left: Duration, rng: &mut StdRng) -> Then {
         let front = self.fronts.borrow().choose(rng).cloned();
         let Some(FrontAt { name, address: Some(address) }) = front else {
             return Then::Again(Duration::from_millis(300));
@@ -112,23 +122,24 @@
         let request = self.number();
         if rng.random_bool(self.crowd.impatient) {
             let wait = Duration::from_millis(rng.random_range(1..40));
-            self.ask(&mut connection, request, n, title, top, &name, &offer(request)).await.ok();
+            self.ask(&mut connection, request, viewer, &name, &offer(request)).await.ok();
             sleep(wait).await;
             self.recorder.write(What::Hung { request });
             return Then::Done;
         }
         if rng.random_bool(self.crowd.twice) {
             // The same request once more on another connection, while the first one waits.
-            let (audience, name, offer) = (self.clone(), name.clone(), offer(request));
+            let (audience, viewer, name, offer) =
+                (self.clone(), viewer.clone(), name.clone(), offer(request));
             let twin = self.number();
             tokio::task::spawn_local(async move {
                 let Ok(mut second) = Connection::open(address).await else { return };
-                if audience.ask(&mut second, twin, n, title, top, &name, &offer).await.is_ok() {
+                if audience.ask(&mut second, twin, &viewer, &name, &offer).await.is_ok() {
                     let _ = audience.answer(&mut second, twin).await;
                 }
             });
         }
-        if self.ask(&mut connection, request, n, title, top, &name, &offer(request)).await.is_err() {
+        if self.ask(&mut connection, request, viewer, &name, &offer(request)).await.is_err() {
             self.recorder.write(What::Broke { request });
             return Then::Again(Duration::from_millis(300));
         }
@@ -147,30 +158,26 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     async fn ask(
         &self,
         connection: &mut Connection,
         request: u64,
-        n: u64,
-        title: u32,
-        top: u8,
+        viewer: &Viewer,
         front: &str,
         offer: &str,
     ) -> Result<(), End> {
-        let title = format!("title-{title}");
+        let title = format!("title-{}", viewer.title);
         // The offer's `o=` line is what a node sees of the request; a copy of a request has the first's.
         let origin = offer.split("o=").nth(1).map(|o| o.split(' ').take(2).collect::<Vec<_>>().join(" "));
         self.recorder.write(What::Asked {
             request,
-            session: format!("v{n}/{title}"),
+            session: format!("v{}/{title}", viewer.n),
             origin: origin.unwrap_or_default(),
             title: title.clone(),
             class: self.class.clone(),
             front: front.into(),
         });
-        let path = format!("/whep/{title}?viewer=v{n}&top={top}");
-        connection.send("POST", &path, &[("content-type", "application/sdp")], offer.as_bytes()).await
+        connection.send("POST", &viewer.path, &[("content-type", "application/sdp")], offer.as_bytes()).await
     }
 
     async fn answer(&self, connection: &mut Connection, request: u64) -> Result<Reply, End> {
