A restarted front is told from the one that was killed, by a run in Via

Nodes end the sessions of a front whose event streams stay away. A restarted front has the same name, so that its streams kept the killed one's sessions alive for ever; a test found it on a loaded machine. Via now carries a run that is drawn at each start, and the stand-in counts open streams a run instead of remembering the last one.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -345,7 +345,7 @@
         let admin = TcpListener::bind(config.admin).await?;
         let (address, admin_address) = (listener.local_addr()?, admin.local_addr()?);
         let key = config.admin_key.clone().unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-        let upstream = Upstream::new(&config.name, Duration::from_nanos(config.connect_time));
+        let upstream = Upstream::new(&config.name, rand::random(), Duration::from_nanos(config.connect_time));
         let shell = Rc::new(Shell {
             clock: Clock::new(),
             admin_key: key,
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -147,12 +147,13 @@
 }
 
 impl Upstream {
-    /// A client that names its front in `Via` (RFC 9110, 7.6.3).
+    /// A client that names its front in `Via` (RFC 9110, 7.6.3), with a comment that tells this run of it from
+    /// another: a node must not take a restarted front for the one that set its sessions up.
     #[must_use]
-    pub fn new(front: &str, connect_time: Duration) -> Self {
+    pub fn new(front: &str, run: u32, connect_time: Duration) -> Self {
         let front: String =
             front.chars().filter(|c| c.is_ascii_alphanumeric() || "-._".contains(*c)).collect();
-        Self { pools: RefCell::default(), via: format!("1.1 {front}"), connect_time }
+        Self { pools: RefCell::default(), via: format!("1.1 {front} (run {run:08x})"), connect_time }
     }
 
     fn build(
--- a/crates/playout/src/face.rs
+++ b/crates/playout/src/face.rs
@@ -306,9 +306,9 @@
             Ok(r)
         }
         (["s", id, "events", "stream"], &Method::GET) => {
-            let front = node.borrow().sessions.get(*id).map(|s| s.front.clone());
-            let Some(front) = front else { return Ok(plain(404, "")) };
-            let mut r = Response::new(Events(stream(node.clone(), front, (*id).to_owned())).boxed());
+            let run = node.borrow().sessions.get(*id).map(|s| s.run.clone());
+            let Some(run) = run else { return Ok(plain(404, "")) };
+            let mut r = Response::new(Events(stream(node.clone(), run, (*id).to_owned())).boxed());
             header(&mut r, CONTENT_TYPE, "text/event-stream");
             Ok(r)
         }
@@ -346,7 +346,9 @@
     last: &RefCell<Option<String>>,
     dead: &Cell<bool>,
 ) -> Result<Response<Out>, Failure> {
-    let front = given(&request, &VIA).rsplit(' ').next().unwrap_or("").to_owned();
+    // `1.1 front (run ...)`: the record names the front, the lease is this run's.
+    let run = given(&request, &VIA).to_owned();
+    let front = run.split(' ').nth(1).unwrap_or("").to_owned();
     let is_sdp = given(&request, &CONTENT_TYPE).starts_with(SDP_TYPE);
     let body = Limited::new(request.into_body(), 64 << 10).collect().await?.to_bytes();
     let way = if publish { Direction::Send } else { Direction::Receive };
@@ -399,7 +401,7 @@
     let ufrag = format!("n{:x}", account.attempt);
     let session = Session {
         origin,
-        front,
+        run,
         title: title.to_owned(),
         rung: 0,
         ufrag: ufrag.clone(),
@@ -482,9 +484,9 @@
 }
 
 /// The event stream of a front, on one of its sessions; it ends with that session.
-fn stream(node: Shared, front: String, id: String) -> mpsc::Receiver<String> {
+fn stream(node: Shared, run: String, id: String) -> mpsc::Receiver<String> {
     let (tell, told) = mpsc::channel(8);
-    node.borrow_mut().fronts.insert(front.clone(), None);
+    node.borrow_mut().streams(&run, true);
     spawn_local(async move {
         let mut ticks = tokio::time::interval(Duration::from_millis(100));
         let every = Duration::from_millis(node.borrow().options.told_every_ms);
@@ -500,7 +502,7 @@
             {
                 let mut n = node.borrow_mut();
                 closing = !n.sessions.contains_key(&id);
-                for ended in n.ended.remove(&front).unwrap_or_default() {
+                for ended in n.ended.remove(&run).unwrap_or_default() {
                     say.push(write_event("inactive", &format!("{{\"session\":\"/s/{ended}\"}}")));
                 }
                 if let Some([delivered, link, uplink]) = n.seen() {
@@ -525,7 +527,7 @@
                 }
             }
         }
-        node.borrow_mut().fronts.insert(front, Some(Instant::now()));
+        node.borrow_mut().streams(&run, false);
     });
     told
 }
--- a/crates/playout/src/node.rs
+++ b/crates/playout/src/node.rs
@@ -44,7 +44,7 @@
     pub seen_after_ms: u64,
     /// Time between two reports of fullness on event streams, milliseconds.
     pub told_every_ms: u64,
-    /// It ends the sessions of a front that has had no event stream for so long, milliseconds.
+    /// It ends the sessions of a front's run that has had no event stream for so long, milliseconds.
     pub lease_ms: u64,
     /// Seed of its noise.
     pub seed: u64,
@@ -157,8 +157,8 @@
 pub struct Session {
     /// The `o=` line of its offer.
     pub origin: String,
-    /// The front that set it up.
-    pub front: String,
+    /// The run of the front that set it up, by its `Via`.
+    pub run: String,
     /// Its title.
     pub title: String,
     /// The rung in force.
@@ -192,8 +192,8 @@
     pub sessions: BTreeMap<String, Session>,
     pub rack: Rc<RefCell<Rack>>,
     pub recorder: Recorder,
-    /// When each front last had an event stream; `None` while it has one.
-    pub fronts: BTreeMap<String, Option<Instant>>,
+    /// Event streams that each run of a front has open, and when that last changed.
+    pub runs: BTreeMap<String, (usize, Instant)>,
     /// What is told on event streams, with the time from which it may be seen: delivered, link, uplink.
     pub told: VecDeque<(Instant, [f64; 3])>,
     /// Sessions that the node itself ended, by front, for its event stream.
@@ -218,7 +218,7 @@
             sessions: BTreeMap::new(),
             rack,
             recorder,
-            fronts: BTreeMap::new(),
+            runs: BTreeMap::new(),
             told: VecDeque::new(),
             ended: BTreeMap::new(),
             report: (now, [0.0; 3]),
@@ -346,29 +346,32 @@
         let Some(s) = self.sessions.remove(id) else { return false };
         self.recorder.write(What::Ended { origin: s.origin, why: why.into() });
         if told {
-            self.ended.entry(s.front).or_default().insert(id.to_owned());
+            self.ended.entry(s.run).or_default().insert(id.to_owned());
         }
         true
     }
 
-    /// Ends the sessions of fronts that have had no event stream for the lease.
+    /// A run of a front opened an event stream, or one of its streams closed.
+    pub fn streams(&mut self, run: &str, opened: bool) {
+        let (open, since) = self.runs.entry(run.to_owned()).or_insert((0, Instant::now()));
+        *open = if opened { *open + 1 } else { open.saturating_sub(1) };
+        *since = Instant::now();
+    }
+
+    /// Ends the sessions of runs that have had no event stream for the lease.
     pub fn sweep(&mut self) {
         let lease = Duration::from_millis(self.options.lease_ms);
-        let held: BTreeSet<String> = self.sessions.values().map(|s| s.front.clone()).collect();
-        for front in &held {
-            self.fronts.entry(front.clone()).or_insert_with(|| Some(Instant::now()));
+        let held: BTreeSet<String> = self.sessions.values().map(|s| s.run.clone()).collect();
+        for run in &held {
+            self.runs.entry(run.clone()).or_insert_with(|| (0, Instant::now()));
         }
-        let gone: Vec<String> = self
-            .fronts
-            .iter()
-            .filter(|(_, since)| since.is_some_and(|t| t.elapsed() > lease))
-            .map(|(f, _)| f.clone())
-            .collect();
-        for front in gone {
-            self.fronts.remove(&front);
-            self.ended.remove(&front);
+        let lost = |(open, since): &(usize, Instant)| *open == 0 && since.elapsed() > lease;
+        let gone: Vec<String> = self.runs.iter().filter(|(_, s)| lost(s)).map(|(r, _)| r.clone()).collect();
+        for run in gone {
+            self.runs.remove(&run);
+            self.ended.remove(&run);
             let ids: Vec<String> =
-                self.sessions.iter().filter(|(_, s)| s.front == front).map(|(id, _)| id.clone()).collect();
+                self.sessions.iter().filter(|(_, s)| s.run == run).map(|(id, _)| id.clone()).collect();
             ids.iter().for_each(|id| {
                 self.end(id, "lease", false);
             });
