Viewers of rehearsals: a closed idle connection is no break of the session

They now go by the end of their event stream alone, and end their session on a connection of its own.

--- a/crates/rehearse/src/viewers.rs
+++ b/crates/rehearse/src/viewers.rs
@@ -203,7 +203,7 @@
 
     /// Plays until the time is up, the front moves the session or the connection breaks.
     async fn play(
-        &self,
+        self: &Rc<Self>,
         mut connection: Connection,
         request: u64,
         front: SocketAddr,
@@ -226,19 +226,23 @@
             side.wait_for(&["event:move", "event: urn:pepperhook:whep:event:move", "event: inactive"], until)
                 .await
         };
-        let (ended, extra) = tokio::select! {
-            ended = events => (ended, 0),
-            extra = connection.listen(until) => (Err(if extra > 0 { End::Malformed } else { End::Closed }), extra),
-        };
+        // The front closes an idle connection after a while; only the end of the events is a break.
+        let audience = self.clone();
+        tokio::task::spawn_local(async move {
+            let extra = connection.listen(until).await;
+            audience.extra(request, extra);
+        });
+        let ended = events.await;
         self.playing.set(self.playing.get() - 1);
-        self.extra(request, extra);
         match ended {
             Ok(_) => Then::Again(Duration::from_millis(250)),
             Err(End::Closed) if Instant::now() < until => Then::Again(Duration::from_millis(500)),
             Err(_) => {
                 sleep_until(until).await;
                 let second = Duration::from_secs(1);
-                let _ = connection.exchange("DELETE", &session, &[], b"", second).await;
+                if let Ok(mut last) = Connection::open(front).await {
+                    let _ = last.exchange("DELETE", &session, &[], b"", second).await;
+                }
                 Then::Done
             }
         }
