The module knows held room: demand that is asked for already, to all but those it is held for

Announced peaks need room ahead of their start, through the one admission test. A hold names titles, servers and kB; forecast, admission and rises of everyone else count it, relief and shedding never do, so that nobody is lowered for room that nobody uses yet. A hold on a server that drains or is gone counts for nothing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -72,6 +72,7 @@
     servers: BTreeMap<ServerId, Server>,
     racks: Vec<Rack>,
     sessions: BTreeMap<SessionId, Session>,
+    holds: BTreeMap<HoldId, Hold>,
     moved: BTreeMap<ViewerKey, (Time, ServerId, u8)>,
     taken: SlidingSum,
     further: SlidingSum,
@@ -98,6 +99,7 @@
             servers: BTreeMap::new(),
             racks: (0..settings.racks).map(|_| Rack::default()).collect(),
             sessions: BTreeMap::new(),
+            holds: BTreeMap::new(),
             moved: BTreeMap::new(),
             taken: SlidingSum::default(),
             further: SlidingSum::default(),
@@ -139,6 +141,7 @@
             Event::Left(id) => self.forget(now, id),
             Event::Note(id, server, kind, value) => self.note(now, (id, server, kind, value), out),
             Event::Probed(server, report) => self.probed(now, server, report, out),
+            Event::Held(id, titles, on) => self.hold(id, titles, on),
             Event::ListFailed | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(token) => self.give_up(now, SessionId(token), out),
@@ -289,10 +292,31 @@
         );
     }
 
-    /// Use of the fuller of link and uplink with `kb` more.
-    fn strain(&self, now: Time, server: &Server, kb: f64) -> f64 {
-        let link = self.link_use(now, server) + kb / self.link_kb(now, server);
-        link.max(self.uplink_use(now, server.rack) + kb / self.set.uplink_kb)
+    /// Departure, only where a peak was announced: room is held for viewers of some titles.
+    fn hold(&mut self, id: HoldId, titles: Vec<TitleId>, mut on: Vec<(ServerId, f64)>) {
+        on.retain(|(_, kb)| kb.is_finite() && *kb > 0.0);
+        self.holds.remove(&id);
+        if !on.is_empty() {
+            self.holds.insert(id, Hold { titles: titles.into_iter().collect(), on });
+        }
+    }
+
+    /// What is held on a rack, and of that on one server, for viewers of other titles than this one. It
+    /// stands for demand that is asked for already: forecast, admission and rises see it. Shedding never
+    /// does, so that nobody is lowered for room that nobody uses yet.
+    fn held(&self, rack: u32, on: Option<ServerId>, title: Option<TitleId>) -> (f64, f64) {
+        let others = self.holds.values().filter(|h| title.is_none_or(|t| !h.titles.contains(&t)));
+        let there = others.flat_map(|h| &h.on).filter(|(id, _)| {
+            self.servers.get(id).is_some_and(|s| s.rack == rack && s.entry.state == ServerState::Ready)
+        });
+        there.fold((0.0, 0.0), |sum, (id, kb)| (sum.0 + kb, if on == Some(*id) { sum.1 + kb } else { sum.1 }))
+    }
+
+    /// Use of the fuller of link and uplink with `kb` more for a viewer of this title.
+    fn strain(&self, now: Time, server: &Server, kb: f64, title: TitleId) -> f64 {
+        let (in_rack, here) = self.held(server.rack, Some(server.entry.server), Some(title));
+        let link = self.link_use(now, server) + (kb + here) / self.link_kb(now, server);
+        link.max(self.uplink_use(now, server.rack) + (kb + in_rack) / self.set.uplink_kb)
     }
 
     /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction.
@@ -383,7 +407,7 @@
         let mean = titles.values().map(|(kb, n)| kb / n).sum::<f64>() / titles.len().max(1) as f64;
         let uplink = self.set.uplink_kb;
         let inferred = if mean > 0.0 { self.uplink_use(now, rack) * uplink / mean } else { 0.0 };
-        mean * count.max(inferred) / uplink
+        mean * count.max(inferred) / uplink + self.held(rack, None, None).0 / uplink
     }
 
     fn alert(&mut self, now: Time, rack: u32, out: &mut Vec<Action>) {
@@ -426,7 +450,7 @@
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
                 && holds(&self.set, t, &s.wish)
-                && self.strain(now, t, kb) <= MARK
+                && self.strain(now, t, kb, s.wish.title) <= MARK
         };
         !idle && gain > self.set.prices.moved && self.servers.values().any(fit)
     }
@@ -514,11 +538,11 @@
             }
             let (at, rung, held) = (server.entry.server, s.rung + 1, rate(&self.set, s.class, s.rung));
             let kb = (self.added_kb(server, s, rung) - held).max(0.0);
-            let used = self.strain(now, server, 0.0);
+            let used = self.strain(now, server, 0.0, s.wish.title);
             let part = (MARK - used) / (used * kb / held).max(1e-6);
             // A rise may have to be taken back, so that it must earn two switches.
             let earns = self.step(s, rung, -2.0).0 > 0.0 && rung <= self.fair_rung(&sample, used, s);
-            let fits = earns && self.strain(now, server, kb) <= MARK;
+            let fits = earns && self.strain(now, server, kb, s.wish.title) <= MARK;
             self.sessions.entry(id).and_modify(|s| s.weighed = now);
             if fits && self.chance(part) {
                 self.set_rung(now, id, rung, out);
@@ -577,8 +601,9 @@
             if s.shun.contains(&server.entry.server) || full || !self.may_send(now, id, server) {
                 continue;
             }
-            let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r));
-            let fair = self.fair_rung(&sample, self.strain(now, server, 0.0), s).min(s.cap);
+            let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r), s.wish.title);
+            let used = self.strain(now, server, 0.0, s.wish.title);
+            let fair = self.fair_rung(&sample, used, s).min(s.cap);
             // The first worthwhile rung may go past the mark: the others there will make room.
             let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r);
             let fits = |r: &u8| with(*r) <= if *r <= entry { ENTRY } else { MARK };
@@ -610,7 +635,8 @@
         let Some(s) = self.sessions.get(&id) else { return };
         let Some((rung, kb, worth)) = self.steps[s.class].first().copied() else { return };
         let limit = ROOM * s.value * worth / kb;
-        let tight = |h: &&Server| !h.sessions.is_empty() && self.strain(now, h, 0.0) >= MARK;
+        let used = |h: &Server| self.link_use(now, h).max(self.uplink_use(now, h.rack));
+        let tight = |h: &&Server| !h.sessions.is_empty() && used(h) >= MARK;
         let servers = self.servers.values().filter(tight);
         let ids: Vec<_> = servers.flat_map(|h| h.sessions.iter().copied()).collect();
         self.shed(now, &ids, AHEAD * rate(&self.set, s.class, rung), limit, out);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -34,6 +34,8 @@
     ZoneId(u16),
     /// Index into [`Settings::kind_streams`].
     KindId(u16),
+    /// Room that is held for an announced peak.
+    HoldId(u64),
 }
 
 /// May a set-up be sent again?
@@ -383,6 +385,9 @@
     Note(SessionId, ServerId, NoteKind, f64),
     /// A probe's answer; `None` if it failed.
     Probed(ServerId, Option<Vec<f64>>),
+    /// Room held on servers, kB a second, for viewers of these titles: to everyone else it counts as asked for.
+    /// Takes the place of what the hold was before; nothing held releases it.
+    Held(HoldId, Vec<TitleId>, Vec<(ServerId, f64)>),
     /// A message from another front.
     Message(u16, Vec<u8>),
     /// A timer that the module had set.
