Peaks in the front: announced by command or HTTP, spread between fronts, kept over a crash

An operator announces at one front (pepperhook peak, or /peaks on the admin listener, with the key as a bearer token); the record is kept in redb before it is answered, told to the other fronts over the exchange, and held room enters the module as Event::Held. Console and /peaks show what is held, due and come.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod log;
+mod peak;
 mod rehearse;
 mod serve;
 
@@ -58,6 +59,17 @@
     /// Play a day through real fronts and judge the six rules from the sockets.
     #[command(subcommand)]
     Rehearse(rehearse::What),
+    /// Announce, amend, call off or list peaks at a running front; it tells the others.
+    Peak {
+        /// Admin address of the front.
+        #[arg(long)]
+        admin: std::net::SocketAddr,
+        /// File that holds the admin key; else the environment variable PEPPERHOOK_ADMIN_KEY.
+        #[arg(long)]
+        key_file: Option<PathBuf>,
+        #[command(subcommand)]
+        verb: peak::Verb,
+    },
     /// Run a front, nine stand-in nodes and scripted viewers in one process, without any file.
     Demo {
         /// Stop after this time, such as 30s or 2m; else run until a signal.
@@ -122,6 +134,7 @@
             log::start(pepperhook_settings::LogForm::Text, "warn");
             run(rehearse::rehearse(what))
         }
+        Verb::Peak { admin, key_file, verb } => run(peak::peak(admin, key_file, verb)),
         Verb::Demo { length, rate, seed } => {
             log::start(pepperhook_settings::LogForm::Text, "warn");
             run(demo::demo(length, rate, seed))
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -10,6 +10,7 @@
 //! that does the module hear of the time-out, so that no further attempt can go out beside it.
 
 pub mod claims;
+mod peaks;
 mod tally;
 pub mod types;
 mod view;
@@ -20,6 +21,7 @@
     SettingsError, TenantId, Time, TitleId, ViewerKey, Wish,
 };
 use pepperhook_inventory::Node;
+use pepperhook_peaks::Holds;
 use pepperhook_settings::Config;
 use pepperhook_signalling::{EVENT_MOVE, LoadReport};
 use rand::rngs::StdRng;
@@ -41,6 +43,8 @@
     AttemptTime(AttemptId),
     /// The node was heard out long enough.
     AttemptReset(AttemptId),
+    /// Holds are planned anew.
+    Holds,
     /// The last moment at which a ticket can be answered in time.
     Backstop(Ticket),
 }
@@ -106,6 +110,9 @@
     published: BTreeMap<TitleId, SessionId>,
     nodes: BTreeMap<ServerId, NodeState>,
     claims: Claims,
+    holds: Holds,
+    /// A timer for the next plan is set.
+    planned: bool,
     returning: Returning,
     timers: BinaryHeap<Reverse<(Time, Wake)>>,
     pending: VecDeque<Event>,
@@ -139,6 +146,8 @@
             published: BTreeMap::new(),
             nodes: BTreeMap::new(),
             claims: Claims::default(),
+            holds: peaks::holds(&config),
+            planned: false,
             returning: Returning::new(RETURNING_KEPT),
             timers: BinaryHeap::new(),
             pending: VecDeque::new(),
@@ -165,6 +174,7 @@
             Input::Nodes(nodes) => self.list(nodes),
             Input::News(node, news) => self.news(node, news, out),
             Input::StreamEnded(node, how) => self.stream_ended(node, how, out),
+            Input::Peak(peak) => self.take_peak(now, peak),
         }
         self.run(now, out);
     }
@@ -192,6 +202,7 @@
                     }
                 }
                 Wake::Backstop(ticket) => self.backstop(now, ticket, out),
+                Wake::Holds => self.step_holds(now),
             }
             self.run(now, out);
         }
@@ -555,6 +566,7 @@
         if let Some(layer) = layer.filter(|_| rung > 0) {
             out.push(Effect::SetLayer(node, layer, rung));
         }
+        self.note_rate(session);
         self.pending.push_back(Event::Started(session, node));
         for (metric, kind) in [("link", NoteKind::LinkUse), ("uplink", NoteKind::UplinkUse)] {
             if let Some(value) = c.load.get(metric) {
@@ -578,6 +590,7 @@
         let Some(live) = self.live.remove(&id) else { return };
         let Some(p) = live.playing else { return };
         self.claims.end(live.ask.viewer, id);
+        self.holds.ended(id.0);
         self.resources.remove(&p.resource);
         if let Some(state) = self.nodes.get_mut(&p.node) {
             state.playing.remove(&p.path);
@@ -640,6 +653,7 @@
             }
         }
         self.pending.push_back(Event::ListFull(entries));
+        self.rooms();
     }
 
     /// Keeps one event stream for each node on which sessions play.
@@ -718,6 +732,7 @@
                 if let Some(p) = &live.playing {
                     self.tally.rungs += 1;
                     out.extend(p.layer.clone().map(|layer| Effect::SetLayer(p.node, layer, rung)));
+                    self.note_rate(id);
                 }
             }
             Action::Refuse(id, advice) => {
--- /dev/null
+++ b/crates/front/src/engine/peaks.rs
@@ -0,0 +1,123 @@
+//! Announced peaks in the engine: what `pepperhook_peaks` decides is told to the module as held room.
+
+use super::{Engine, Wake};
+use pepperhook::{Event, ServerState, SessionId, Time, TitleId};
+use pepperhook_peaks::{Announcement, HoldRow, Holds, Known, NodeRoom, Peak, Refused, Terms};
+use pepperhook_settings::{Config, name_hash};
+use std::cmp::Reverse;
+
+const MS: Time = 1_000_000;
+/// Time between two plans.
+const PERIOD: Time = 500 * MS;
+
+/// What announcements may refer to: titles and classes of the settings.
+pub struct Settled<'a>(pub &'a Config);
+
+impl Known for Settled<'_> {
+    fn title(&self, name: &str) -> Option<(TitleId, u32, u32)> {
+        self.0.titles.get(name).map(|t| (t.id, t.home, t.copies))
+    }
+
+    fn class(&self, name: &str) -> Option<(u16, Vec<f64>)> {
+        let i = self.0.classes.iter().position(|c| c.name == name && !c.ingest)?;
+        let class = self.0.decisions.classes.get(i)?;
+        let top = usize::from(class.top) + 1;
+        Some((i as u16, self.0.decisions.ladder.iter().take(top).map(|r| r.kb * class.scale).collect()))
+    }
+}
+
+/// Holds under the settings' bounds.
+pub fn holds(config: &Config) -> Holds {
+    let d = &config.decisions;
+    let terms = Terms {
+        most_share: config.holds.share,
+        fronts: f64::from(d.fronts),
+        late_ms: config.holds.late / MS,
+        most_peaks: config.holds.most,
+    };
+    Holds::new(terms, d.cells, d.uplink_kb)
+}
+
+impl Engine {
+    /// Checks an announcement that is made at this front.
+    ///
+    /// # Errors
+    /// Its faults by field, or what could be held.
+    pub fn admit_peak(&self, now: Time, said: &Announcement) -> Result<Peak, Refused> {
+        self.holds.admit(now / MS, name_hash(&said.name), said, &Settled(&self.config))
+    }
+
+    /// Checks one that another front has admitted: its promise stands, if the titles are known here.
+    ///
+    /// # Errors
+    /// As `admit_peak`.
+    pub fn heard_peak(&self, now: Time, said: &Announcement) -> Result<Peak, Refused> {
+        said.check(now / MS, name_hash(&said.name), &Settled(&self.config)).map_err(Refused::Fields)
+    }
+
+    /// Holds for the console.
+    #[must_use]
+    pub fn hold_rows(&self, now: Time) -> Vec<HoldRow> {
+        self.holds.rows(now / MS)
+    }
+
+    pub(super) fn take_peak(&mut self, now: Time, peak: Peak) {
+        self.holds.take(peak);
+        // Sessions that play already count as come.
+        let playing: Vec<SessionId> =
+            self.live.iter().filter(|(_, l)| l.playing.is_some()).map(|(id, _)| *id).collect();
+        playing.into_iter().for_each(|id| self.note_rate(id));
+        self.rooms();
+        self.tell_holds(now);
+        self.plan_again(now);
+    }
+
+    /// Plans anew, as long as there is a peak.
+    pub(super) fn step_holds(&mut self, now: Time) {
+        self.planned = false;
+        self.rooms();
+        self.tell_holds(now);
+        self.plan_again(now);
+    }
+
+    fn plan_again(&mut self, now: Time) {
+        if !self.planned && !self.holds.is_empty() {
+            self.planned = true;
+            self.timers.push(Reverse((now.saturating_add(PERIOD), Wake::Holds)));
+        }
+    }
+
+    fn tell_holds(&mut self, now: Time) {
+        for held in self.holds.step(now / MS) {
+            self.pending.push_back(Event::Held(held.id, held.titles, held.on));
+        }
+    }
+
+    /// The rate in force of a session that plays.
+    pub(super) fn note_rate(&mut self, id: SessionId) {
+        let Some(live) = self.live.get(&id).filter(|_| !self.holds.is_empty()) else { return };
+        let d = &self.config.decisions;
+        let scale = d.classes.get(usize::from(live.ask.class)).map_or(1.0, |c| c.scale);
+        let kb = d.ladder.get(usize::from(live.rung)).map_or(0.0, |r| r.kb * scale);
+        self.holds.plays(id.0, live.ask.title, kb);
+    }
+
+    /// Nodes as the planner needs them.
+    pub(super) fn rooms(&mut self) {
+        let d = &self.config.decisions;
+        let even = d.all_links_kb / self.nodes.len().max(1) as f64;
+        let room = |n: &super::NodeState| {
+            let e = n.node.entry;
+            NodeRoom {
+                server: e.server,
+                cell: e.cell,
+                rack: e.cell % d.racks,
+                link_kb: if d.kb_per_weight > 0.0 { e.weight * d.kb_per_weight } else { even },
+                ready: e.state == ServerState::Ready,
+                warm_ms: e.started.map_or(0, |t| t.saturating_add(d.rules.cold) / MS),
+            }
+        };
+        let rooms = self.nodes.values().map(room).collect();
+        self.holds.nodes(rooms);
+    }
+}
--- a/crates/front/src/engine/types.rs
+++ b/crates/front/src/engine/types.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use pepperhook::{Outcome, ServerId, SessionId, Time, TitleId, ViewerKey};
 use pepperhook_inventory::Node;
+use pepperhook_peaks::Peak;
 use pepperhook_signalling::LoadReport;
 
 /// One HTTP request that waits for its one answer.
@@ -109,6 +110,8 @@
     Nodes(Vec<Node>),
     /// News of a node.
     News(ServerId, NodeNews),
+    /// A peak was announced, amended or called off, here or at another front.
+    Peak(Peak),
     /// The event stream of a node ended, or could not be had: no connection, or this status.
     StreamEnded(ServerId, StreamEnd),
 }
--- a/crates/front/src/engine/view.rs
+++ b/crates/front/src/engine/view.rs
@@ -3,6 +3,8 @@
 use super::Engine;
 use super::tally::ClassRow;
 use pepperhook::{ServerState, Time};
+use pepperhook_exchange::Counters;
+use pepperhook_peaks::HoldRow;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -47,6 +49,10 @@
     pub racks: Vec<RackRow>,
     /// Nodes.
     pub nodes: Vec<NodeRow>,
+    /// Announced peaks and what is held for them.
+    pub holds: Vec<HoldRow>,
+    /// What the exchange sent, took and threw away.
+    pub exchange: Option<Counters>,
 }
 
 /// A rack.
@@ -143,6 +149,8 @@
                 })
                 .collect(),
             nodes,
+            holds: self.hold_rows(now),
+            exchange: None,
         }
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`engine`]: sessions, attempts and answers, without I/O; what it does is decided by `pepperhook`.
 //! - `shell`: carries out what the engine says, on tokio's current-thread runtime.
 //! - `upstream`: speaks WHIP and WHEP to the nodes. `listener`: speaks them to viewers and publishers.
-//! - `console`: one page for operators.
+//! - `console`: one page for operators, and the interface for announced peaks.
+//! - `spread`: announced peaks between fronts and over restarts.
 //!
 //! Arrows go one way: faces and shell know the engine, the engine knows neither.
 
@@ -12,6 +13,7 @@
 mod http;
 mod listener;
 mod shell;
+mod spread;
 mod upstream;
 
 pub use engine::Snapshot;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -2,8 +2,9 @@
 
 use crate::engine::types::*;
 use crate::engine::{Engine, Snapshot};
+use crate::spread::Spread;
 use crate::upstream::{Hold, Upstream};
-use crate::{console, listener};
+use crate::{console, listener, spread};
 use pepperhook::{ServerId, Time};
 use pepperhook_inventory::{Keeper, Look, Node};
 use pepperhook_settings::Config;
@@ -77,6 +78,8 @@
     /// Requests to nodes that nobody waits for.
     errands: Cell<usize>,
     upstream: Upstream,
+    /// Announced peaks between fronts and over restarts.
+    pub spread: Spread,
     wake: Notify,
     idle: Notify,
 }
@@ -139,7 +142,14 @@
 
     /// What the console shows.
     pub fn snapshot(&self) -> Snapshot {
-        self.engine.borrow().snapshot(self.clock.now())
+        let mut s = self.engine.borrow().snapshot(self.clock.now());
+        s.exchange = Some(self.spread.counters());
+        s
+    }
+
+    /// Reads the engine.
+    pub fn engine<R>(&self, read: impl FnOnce(&Engine, Time) -> R) -> R {
+        read(&self.engine.borrow(), self.clock.now())
     }
 
     fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
@@ -345,9 +355,12 @@
         let admin = TcpListener::bind(config.admin).await?;
         let (address, admin_address) = (listener.local_addr()?, admin.local_addr()?);
         let key = config.admin_key.clone().unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+        let clock = Clock::new();
+        let (spread, socket) = Spread::start(&config, clock.now() / 1_000_000).await?;
         let upstream = Upstream::new(&config.name, rand::random(), Duration::from_nanos(config.connect_time));
         let shell = Rc::new(Shell {
-            clock: Clock::new(),
+            clock,
+            spread,
             admin_key: key,
             engine: RefCell::new(engine),
             next_ticket: Cell::new(1),
@@ -362,12 +375,14 @@
             config,
         });
         shell.drive(Input::Nodes(nodes));
+        spread::recall(&shell);
         let (close, closed) = watch::channel(false);
         let mut tasks = vec![
             spawn_local(shell.clone().timers()),
             spawn_local(listener::serve(shell.clone(), listener, closed.clone())),
             spawn_local(console::serve(shell.clone(), admin, closed)),
         ];
+        tasks.extend(socket.map(|s| spawn_local(spread::run(shell.clone(), s))));
         tasks.extend(keeper.map(|k| spawn_local(shell.clone().watch(k))));
         info!(event = "serving", address = %address, admin = %admin_address, "the front serves");
         Ok(Self { shell, address, admin: admin_address, tasks, close })
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -99,6 +99,45 @@
     }
 }
 
+/// The exchange with other fronts. Secrets are never printed.
+#[derive(Clone)]
+pub struct ExchangeSettings {
+    /// Where datagrams come.
+    pub listen: SocketAddr,
+    /// The other fronts.
+    pub peers: Vec<SocketAddr>,
+    /// Secret that all fronts share.
+    pub key: String,
+    /// The one before, while keys are being changed.
+    pub previous_key: Option<String>,
+    /// Time between two rounds.
+    pub period: Time,
+    /// Others that are told in a round.
+    pub fanout: usize,
+    /// Part of the datagrams that is lost on purpose, for rehearsals.
+    pub loss: f64,
+}
+
+impl std::fmt::Debug for ExchangeSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ExchangeSettings")
+            .field("listen", &self.listen)
+            .field("peers", &self.peers)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Bounds on announced peaks.
+#[derive(Clone, Copy, Debug)]
+pub struct HoldSettings {
+    /// Part of a link or uplink that may be held at most.
+    pub share: f64,
+    /// After the start plus this, room for viewers who have not come is given back.
+    pub late: Time,
+    /// Peaks known at once at most.
+    pub most: usize,
+}
+
 /// Everything that a front is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -134,6 +173,10 @@
     pub titles: BTreeMap<String, Title>,
     /// Tokens; without any, everyone is let in.
     pub tokens: Vec<Token>,
+    /// The exchange with other fronts, where there is one.
+    pub exchange: Option<ExchangeSettings>,
+    /// Bounds on announced peaks.
+    pub holds: HoldSettings,
     /// Names that the list of nodes may use.
     pub names: Names,
     /// What the decision module is told.
@@ -275,6 +318,32 @@
     rules
 }
 
+fn exchange(block: &Block, faults: &mut Vec<Fault>) -> ExchangeSettings {
+    let mut f = Fields::new(block);
+    let listen = f.parsed("listen", "address such as 127.0.0.1:7400");
+    let listen = f.need("listen", listen.map(Some)).unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let mut peers = Vec::new();
+    for word in f.lines("peer", 1, 1).into_iter().map(|l| &l.values[0]) {
+        match word.text.parse() {
+            Ok(peer) if peers.contains(&peer) => f.fault(word.place, "this peer is given twice"),
+            Ok(peer) => peers.push(peer),
+            Err(_) => f.fault(word.place, format!("'{}' is no address such as 127.0.0.1:7400", word.text)),
+        }
+    }
+    let key = f.word("key").map(|w| w.text.clone());
+    let settings = ExchangeSettings {
+        listen,
+        peers,
+        key: f.need("key", key),
+        previous_key: f.word("previous-key").map(|w| w.text.clone()),
+        period: f.time("period").unwrap_or(SECOND).max(50 * MS),
+        fanout: f.parsed("fanout", "whole number").unwrap_or(2).clamp(1, 16),
+        loss: f.number("loss").unwrap_or(0.0).min(1.0),
+    };
+    faults.extend(f.end());
+    settings
+}
+
 fn named<'a>(blocks: &'a [Block], kind: &'a str, faults: &mut Vec<Fault>) -> Vec<(String, &'a Block)> {
     let mut out: Vec<(String, &Block)> = Vec::new();
     for block in blocks.iter().filter(|b| b.kind == kind) {
@@ -292,7 +361,8 @@
 
 fn build(loader: Loader) -> Result<Config, Faults> {
     let Loader { source, blocks, mut faults } = loader;
-    const KINDS: [&str; 9] = ["", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices"];
+    const KINDS: [&str; 10] =
+        ["", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices", "exchange"];
     for block in blocks.iter().filter(|b| !KINDS.contains(&b.kind.as_str())) {
         let what = format!("unknown section '{}'; expected one of: {}", block.kind, KINDS[1..].join(", "));
         faults.push(Fault { place: block.place, what });
@@ -371,6 +441,8 @@
         faults.extend(f.end());
     }
 
+    let exchange = blocks.iter().find(|b| b.kind == "exchange").map(|b| exchange(b, &mut faults));
+
     let mut f = Fields::new(&blocks[0]);
     let zones: Vec<String> =
         f.lines("zones", 1, 64).iter().flat_map(|l| l.values.iter().map(|w| w.text.clone())).collect();
@@ -419,6 +491,12 @@
             head_time: f.time("head-time").unwrap_or(5 * SECOND),
             body_time: f.time("body-time").unwrap_or(5 * SECOND),
         },
+        exchange,
+        holds: HoldSettings {
+            share: f.number("hold-share").unwrap_or(0.5).min(1.0),
+            late: f.time("hold-late").unwrap_or(60 * SECOND),
+            most: f.parsed("max-peaks", "whole number").unwrap_or(64),
+        },
         connect_time: f.time("connect-time").unwrap_or(250 * MS),
         close_grace: f.time("close-grace").unwrap_or(40 * MS),
         answer_margin: f.time("answer-margin").unwrap_or(250 * MS),
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -59,3 +59,15 @@
     assert!(Config::parse("f", &open).expect_err("no key").to_string().contains("admin-key"));
     assert!(Config::parse("f", &format!("admin-key abc\n{open}")).is_ok());
 }
+
+#[test]
+fn the_exchange_keeps_its_secret_and_wants_addresses() {
+    let with =
+        |more: &str| Config::parse("f", &format!("{GOOD}section exchange\nlisten 127.0.0.1:0\n{more}"));
+    let c = with("key abcdef\nprevious-key ghi\npeer 127.0.0.1:7401\nperiod 500ms\n").expect("settings");
+    assert!(!format!("{c:?}").contains("abcdef") && !format!("{c:?}").contains("ghi"));
+    let x = c.exchange.expect("an exchange");
+    assert_eq!((x.peers.len(), x.period, x.fanout), (1, 500 * MS, 2));
+    let e = with("peer nowhere\npeer 127.0.0.1:1\npeer 127.0.0.1:1\n").expect_err("faults").to_string();
+    assert!(e.contains("nowhere") && e.contains("given twice") && e.contains("lack 'key'"), "{e}");
+}
--- a/crates/signalling/src/problem.rs
+++ b/crates/signalling/src/problem.rs
@@ -1,6 +1,7 @@
 //! Problem details (RFC 9457).
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Media type of problem details.
 pub const PROBLEM_JSON: &str = "application/problem+json";
@@ -20,6 +21,9 @@
     /// Extension: the exact advice when to come again, milliseconds; `Retry-After` holds it in whole seconds.
     #[serde(rename = "retry-after-ms", skip_serializing_if = "Option::is_none", default)]
     pub retry_after_ms: Option<u64>,
+    /// Further extension members.
+    #[serde(flatten)]
+    pub more: BTreeMap<String, serde_json::Value>,
 }
 
 impl Problem {
@@ -27,7 +31,14 @@
     #[must_use]
     pub fn new(status: u16, name: &str, title: &str, detail: impl Into<String>) -> Self {
         let kind = format!("urn:pepperhook:problem:{name}");
-        Self { kind, title: title.to_owned(), status, detail: detail.into(), retry_after_ms: None }
+        Self {
+            kind,
+            title: title.to_owned(),
+            status,
+            detail: detail.into(),
+            retry_after_ms: None,
+            more: BTreeMap::new(),
+        }
     }
 
     /// With advice when to come again.
@@ -37,6 +48,13 @@
         self
     }
 
+    /// With an extension member.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: serde_json::Value) -> Self {
+        self.more.insert(name.to_owned(), value);
+        self
+    }
+
     /// `Retry-After` in whole seconds, rounded up (RFC 9110, 10.2.3).
     #[must_use]
     pub fn retry_after_s(&self) -> Option<u64> {
