rehearse peak: holds counted by heads, first rungs find all their room; crowd with and without

The first rehearsal of an announced peak served the event worse than none (0.90 of its viewers within the aim against 1.00): the first to come took the room of those after them at high rungs, and holds were given back by rates. Holds now shrink by heads; a newcomer's first worthwhile rung finds all of its peak's room free, higher ones one viewer's part.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -4,7 +4,8 @@
 use clap::Subcommand;
 use pepperhook_rehearse::conduct::play;
 use pepperhook_rehearse::day::{Day, bad_day};
-use std::path::{Path, PathBuf};
+use pepperhook_rehearse::peak::Variation;
+use std::path::PathBuf;
 
 /// What is rehearsed.
 #[derive(Subcommand)]
@@ -23,6 +24,23 @@
         #[command(flatten)]
         out: Out,
     },
+    /// An announced peak: the same crowd with and without the announcement, and a peak that is called off.
+    Peak {
+        /// Seed of the viewers.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Front processes, 1 to 8.
+        #[arg(long, default_value_t = 3)]
+        fronts: u32,
+        /// Part of the datagrams between fronts that is lost, 0 to 1.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// This front is cut off from the others.
+        #[arg(long)]
+        cut: Option<u32>,
+        #[command(flatten)]
+        out: Out,
+    },
     /// A day file; see docs/rehearsals.md and the folder days/.
     Replay {
         /// The file.
@@ -56,6 +74,13 @@
             }
             (Ok(bad_day(seed, fronts.max(1), seconds)), out)
         }
+        What::Peak { seed, fronts, loss, cut, out } => {
+            if !(0.0..=1.0).contains(&loss) || cut.is_some_and(|c| c >= fronts) {
+                eprintln!("pepperhook: --loss is between 0 and 1, --cut one of the fronts, counted from 0");
+                return Exit::Usage;
+            }
+            return rehearse_peak(&Variation { seed, fronts, loss, cut }, &out).await;
+        }
         What::Replay { day, out } => {
             let text = std::fs::read_to_string(&day).map_err(|e| e.to_string());
             (text.and_then(|t| Day::parse(&t)).map_err(|e| format!("{}: {e}", day.display())), out)
@@ -70,45 +95,73 @@
     }
 }
 
-async fn rehearse_day(day: &Day, out: &Out) -> Exit {
-    let fault = |e: &dyn std::fmt::Display| {
-        eprintln!("pepperhook: {e}");
-        Exit::Usage
-    };
-    let temporary = match tempfile::tempdir() {
-        Ok(dir) => dir,
-        Err(e) => return fault(&e),
+/// A folder for a run's files, and how its lines are told.
+fn stage(out: &Out) -> Result<(Option<tempfile::TempDir>, PathBuf, PathBuf), String> {
+    let temporary = match &out.keep {
+        Some(_) => None,
+        None => Some(tempfile::tempdir().map_err(|e| e.to_string())?),
     };
-    let dir: &Path = out.keep.as_deref().unwrap_or(temporary.path());
-    if let Err(e) = std::fs::create_dir_all(dir) {
-        return fault(&e);
-    }
-    if std::fs::read_dir(dir).is_ok_and(|mut d| d.next().is_some()) {
-        return fault(&format!("{} is not empty: records of two runs must not mix", dir.display()));
+    let dir =
+        out.keep.clone().or_else(|| temporary.as_ref().map(|t| t.path().to_owned())).unwrap_or_default();
+    std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
+    if std::fs::read_dir(&dir).is_ok_and(|mut d| d.next().is_some()) {
+        return Err(format!("{} is not empty: records of two runs must not mix", dir.display()));
     }
-    let program = match std::env::current_exe() {
-        Ok(program) => program,
-        Err(e) => return fault(&e),
-    };
-    let quiet = out.quiet;
-    let tell = move |line: String| {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    Ok((temporary, dir, program))
+}
+
+fn tell(quiet: bool) -> impl Fn(String) + Clone + 'static {
+    move |line| {
         if !quiet {
             eprintln!("{line}");
         }
+    }
+}
+
+/// Prints the figures and writes them where they are wanted.
+fn finish(report: &impl serde::Serialize, out: &Out, kept: bool) -> Exit {
+    let text = serde_json::to_string_pretty(report).unwrap_or_default();
+    println!("{text}");
+    if let Some(path) = &out.report {
+        if let Err(e) = std::fs::write(path, text + "\n") {
+            eprintln!("pepperhook: {}: {e}", path.display());
+            return Exit::Usage;
+        }
+    }
+    if kept { Exit::Done } else { Exit::Failed }
+}
+
+async fn rehearse_day(day: &Day, out: &Out) -> Exit {
+    let (_temporary, dir, program) = match stage(out) {
+        Ok(stage) => stage,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            return Exit::Usage;
+        }
     };
-    let outcome = match play(day, &program, dir, tell).await {
-        Ok(outcome) => outcome,
+    match play(day, &program, &dir, tell(out.quiet)).await {
+        Ok(outcome) => finish(&outcome.report, out, outcome.breaches.is_empty()),
         Err(e) => {
             eprintln!("pepperhook: {e}");
-            return Exit::Failed;
+            Exit::Failed
+        }
+    }
+}
+
+async fn rehearse_peak(v: &Variation, out: &Out) -> Exit {
+    let (_temporary, dir, program) = match stage(out) {
+        Ok(stage) => stage,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            return Exit::Usage;
         }
     };
-    let text = serde_json::to_string_pretty(&outcome.report).unwrap_or_default();
-    println!("{text}");
-    if let Some(path) = &out.report {
-        if let Err(e) = std::fs::write(path, text + "\n") {
-            return fault(&format!("{}: {e}", path.display()));
+    match pepperhook_rehearse::peak::rehearse(v, &program, &dir, tell(out.quiet)).await {
+        Ok(report) => finish(&report, out, report.rules_broken.is_empty()),
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            Exit::Failed
         }
     }
-    if outcome.breaches.is_empty() { Exit::Done } else { Exit::Failed }
 }
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -566,7 +566,7 @@
         if let Some(layer) = layer.filter(|_| rung > 0) {
             out.push(Effect::SetLayer(node, layer, rung));
         }
-        self.note_rate(session);
+        self.came(session);
         self.pending.push_back(Event::Started(session, node));
         for (metric, kind) in [("link", NoteKind::LinkUse), ("uplink", NoteKind::UplinkUse)] {
             if let Some(value) = c.load.get(metric) {
@@ -732,7 +732,6 @@
                 if let Some(p) = &live.playing {
                     self.tally.rungs += 1;
                     out.extend(p.layer.clone().map(|layer| Effect::SetLayer(p.node, layer, rung)));
-                    self.note_rate(id);
                 }
             }
             Action::Refuse(id, advice) => {
--- a/crates/front/src/engine/peaks.rs
+++ b/crates/front/src/engine/peaks.rs
@@ -66,7 +66,7 @@
         // Sessions that play already count as come.
         let playing: Vec<SessionId> =
             self.live.iter().filter(|(_, l)| l.playing.is_some()).map(|(id, _)| *id).collect();
-        playing.into_iter().for_each(|id| self.note_rate(id));
+        playing.into_iter().for_each(|id| self.came(id));
         self.rooms();
         self.tell_holds(now);
         self.plan_again(now);
@@ -89,17 +89,15 @@
 
     fn tell_holds(&mut self, now: Time) {
         for held in self.holds.step(now / MS) {
-            self.pending.push_back(Event::Held(held.id, held.titles, held.on));
+            self.pending.push_back(Event::Held(held.id, held.hold));
         }
     }
 
-    /// The rate in force of a session that plays.
-    pub(super) fn note_rate(&mut self, id: SessionId) {
-        let Some(live) = self.live.get(&id).filter(|_| !self.holds.is_empty()) else { return };
-        let d = &self.config.decisions;
-        let scale = d.classes.get(usize::from(live.ask.class)).map_or(1.0, |c| c.scale);
-        let kb = d.ladder.get(usize::from(live.rung)).map_or(0.0, |r| r.kb * scale);
-        self.holds.plays(id.0, live.ask.title, kb);
+    /// A session plays: it is one of those who were expected, where it is.
+    pub(super) fn came(&mut self, id: SessionId) {
+        if let Some(live) = self.live.get(&id) {
+            self.holds.plays(id.0, live.ask.title);
+        }
     }
 
     /// Nodes as the planner needs them.
--- a/crates/peaks/src/holds.rs
+++ b/crates/peaks/src/holds.rs
@@ -1,15 +1,15 @@
 //! The life of the holds of one front.
 //!
-//! A hold begins `lead` before its peak's start. What is held is what the expected viewers would ask, less what
-//! those who came already ask; each front sees its own arrivals only and takes them for its part of all (the
+//! A hold begins `lead` before its peak's start. What is held is what the expected viewers would ask who have not
+//! come yet; each front sees its own arrivals only and takes them for its part of all (the
 //! same inference as the decision module's). After the end, or the moment it is called off, nothing is held;
 //! that needs no message, since the end is part of the announcement.
 
 use crate::announcement::{Announcement, FieldFault, Known, Peak};
 use crate::plan::{Need, Plan, Problem, Room, plan};
-use pepperhook::{HoldId, ServerId, TitleId};
+use pepperhook::{Hold, HoldId, ServerId, TitleId};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the holds, from the settings.
 #[derive(Clone, Copy, Debug)]
@@ -54,10 +54,8 @@
 pub struct Held {
     /// Which hold.
     pub id: HoldId,
-    /// For whom.
-    pub titles: Vec<TitleId>,
-    /// Where and how much, kB a second.
-    pub on: Vec<(ServerId, f64)>,
+    /// For whom, where and how much.
+    pub hold: Hold,
 }
 
 /// Why a peak is not taken.
@@ -105,8 +103,8 @@
     peak: Peak,
     /// Peaks are served in the order in which this front heard of them.
     order: usize,
-    /// Own sessions of its titles and class: how many, and their rates.
-    own: BTreeMap<u64, f64>,
+    /// Own sessions of its titles.
+    own: BTreeSet<u64>,
     /// The most own sessions at once since the lead began.
     most_own: usize,
     told: Vec<(ServerId, f64)>,
@@ -199,16 +197,16 @@
                 self.heard += 1;
                 let order = self.heard;
                 let entry =
-                    Entry { peak, order, own: BTreeMap::new(), most_own: 0, told: Vec::new(), solved: false };
+                    Entry { peak, order, own: BTreeSet::new(), most_own: 0, told: Vec::new(), solved: false };
                 self.peaks.insert(number, entry);
             }
         }
     }
 
-    /// A session of this front plays, at this rate; or its rate changed.
-    pub fn plays(&mut self, session: u64, title: TitleId, kb: f64) {
+    /// A session of this front plays.
+    pub fn plays(&mut self, session: u64, title: TitleId) {
         for e in self.peaks.values_mut().filter(|e| e.peak.titles.iter().any(|t| t.0 == title)) {
-            e.own.insert(session, kb);
+            e.own.insert(session);
             e.most_own = e.most_own.max(e.own.len());
         }
     }
@@ -257,15 +255,20 @@
         expected.min(came * (1.0 + PACE))
     }
 
+    /// Room for those who are still to come, kB a second. Own sessions stand for those of an average front. They
+    /// are counted by heads: who came at a higher rung has not used up the room of another.
+    fn due(&self, now_ms: u64, e: &Entry) -> f64 {
+        let came = e.own.len() as f64 * self.terms.fronts;
+        (self.expected(now_ms, e) - came).max(0.0) * e.peak.kb
+    }
+
     /// Makes the plan anew and returns the holds that changed, for the module. To be called about twice a second,
     /// and whenever something changed.
     pub fn step(&mut self, now_ms: u64) -> Vec<Held> {
         let mut due: Vec<(u64, f64)> = Vec::new();
         let mut needs = Vec::new();
         for (number, e) in &self.peaks {
-            // Own sessions stand for those of an average front.
-            let came_kb = e.own.values().sum::<f64>() * self.terms.fronts;
-            let kb = (self.expected(now_ms, e) * e.peak.kb - came_kb).max(0.0);
+            let kb = self.due(now_ms, e);
             if kb > 0.0 {
                 due.push((*number, kb));
                 needs.push(Need { kb, holders: self.holders(&e.peak, now_ms), order: e.order });
@@ -283,7 +286,7 @@
             if differs(&e.told, &on) {
                 e.told.clone_from(&on);
                 let titles = e.peak.titles.iter().map(|t| t.0).collect();
-                out.push(Held { id: HoldId(*number), titles, on });
+                out.push(Held { id: HoldId(*number), hold: Hold { titles, each: e.peak.kb, on } });
             }
         }
         // What is over, and was given back, is forgotten a minute later: until then the console shows it.
@@ -308,7 +311,6 @@
                 () => "running",
             };
             let came = e.own.len() as f64 * self.terms.fronts;
-            let came_kb = e.own.values().sum::<f64>() * self.terms.fronts;
             HoldRow {
                 name: said.name.clone(),
                 state,
@@ -317,7 +319,7 @@
                 expected: expected as u32,
                 came,
                 held_kb: e.told.iter().map(|(_, kb)| kb).sum(),
-                due_kb: (expected * e.peak.kb - came_kb).max(0.0),
+                due_kb: self.due(now_ms, e),
                 nodes: e.told.len(),
                 solved: e.solved,
             }
--- a/crates/peaks/src/holds/tests.rs
+++ b/crates/peaks/src/holds/tests.rs
@@ -41,14 +41,14 @@
     announced(&mut h, START - 100_000);
     assert!(h.step(START - 60_001).is_empty());
     let told = h.step(START - 60_000);
-    assert_eq!((told.len(), told[0].titles.as_slice()), (1, &[TitleId(1)][..]));
+    assert_eq!((told.len(), told[0].hold.titles.as_slice()), (1, &[TitleId(1)][..]));
     assert!(about(held(&h), 6_000.0));
-    assert!(told[0].on.iter().all(|(s, _)| s.0 < 4), "on the title's holders alone");
+    assert!(told[0].hold.on.iter().all(|(s, _)| s.0 < 4), "on the title's holders alone");
     assert!(h.step(START - 59_000).is_empty(), "nothing changed");
     h.step(START + 1_000);
     assert!(about(held(&h), 6_000.0));
     let given_back = h.step(START + 300_000);
-    assert_eq!((given_back.len(), given_back[0].on.len()), (1, 0));
+    assert_eq!((given_back.len(), given_back[0].hold.on.len()), (1, 0));
 }
 
 #[test]
@@ -57,7 +57,7 @@
     announced(&mut h, START - 100_000);
     h.step(START - 50_000);
     for n in 0..3 {
-        h.plays(n, TitleId(1), 600.0);
+        h.plays(n, TitleId(1));
         h.step(START - 40_000 + n * 1_000);
         // Each own viewer stands for two: there are two fronts.
         assert!(about(held(&h), 6_000.0 - 1_200.0 * (n + 1) as f64), "{}", held(&h));
@@ -65,10 +65,10 @@
     h.ended(0);
     h.step(START - 30_000);
     assert!(about(held(&h), 6_000.0 - 2_400.0), "who leaves early leaves room to come back to");
-    (10..20).for_each(|n| h.plays(n, TitleId(1), 600.0));
+    (10..20).for_each(|n| h.plays(n, TitleId(1)));
     h.step(START - 20_000);
     assert_eq!(held(&h), 0.0, "more came than were expected: nothing is held");
-    h.plays(30, TitleId(2), 600.0);
+    h.plays(30, TitleId(2));
     assert_eq!(h.peaks[&7].own.len(), 12, "viewers of other titles are others");
 }
 
@@ -83,11 +83,11 @@
     assert_eq!(never.rows(START + 30_000)[0].state, "late");
     let mut late = holds();
     announced(&mut late, START - 100_000);
-    (0..2).for_each(|n| late.plays(n, TitleId(1), 600.0));
+    (0..2).for_each(|n| late.plays(n, TitleId(1)));
     late.step(START + 30_000);
     // Four came, as far as this front knows: room for four more stays.
     assert!(about(held(&late), 2_400.0), "{}", held(&late));
-    (2..4).for_each(|n| late.plays(n, TitleId(1), 600.0));
+    (2..4).for_each(|n| late.plays(n, TitleId(1)));
     late.step(START + 31_000);
     assert!(held(&late) > 1_000.0, "and grows with those who come, up to what was announced");
 }
--- a/crates/playout/src/record.rs
+++ b/crates/playout/src/record.rs
@@ -61,6 +61,8 @@
     FrontDown { front: String },
     /// It stands still from here for so long.
     FrontStall { front: String, ms: u64 },
+    /// Room that a front says it holds for announced peaks, kB a second.
+    Held { front: String, kb: f64, due_kb: f64 },
     /// A fault was caused; for the reader.
     Fault { kind: String, detail: String },
 }
--- a/crates/rehearse/src/conduct/fleet.rs
+++ b/crates/rehearse/src/conduct/fleet.rs
@@ -11,7 +11,7 @@
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::rc::Rc;
@@ -41,6 +41,9 @@
     pub name: String,
     child: Option<Child>,
     address: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+    /// Where its exchange listens.
+    exchange: SocketAddr,
 }
 
 /// What a process says on its standard output once it serves.
@@ -48,6 +51,7 @@
 struct Ready {
     address: SocketAddr,
     control: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
 }
 
 /// A list of nodes: name, state and line of each.
@@ -119,7 +123,24 @@
             started_ms: 0,
             faults: Faults::default(),
         };
-        let front = |i: u32| FrontProcess { name: format!("front-{i}"), child: None, address: None };
+        // Free ports: taken all at once, and given back for the fronts to take.
+        let sockets: Vec<UdpSocket> = (0..fleet.fronts)
+            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .collect::<Result<_, _>>()
+            .map_err(|e| Fault::Io("exchange ports".into(), e))?;
+        let ports: Vec<SocketAddr> = sockets
+            .iter()
+            .map(UdpSocket::local_addr)
+            .collect::<Result<_, _>>()
+            .map_err(|e| Fault::Io("exchange ports".into(), e))?;
+        drop(sockets);
+        let front = |i: u32| FrontProcess {
+            name: format!("front-{i}"),
+            child: None,
+            address: None,
+            admin: None,
+            exchange: ports[i as usize],
+        };
         let world = Rc::new(Self {
             nodes: RefCell::new((0..fleet.nodes).map(node).collect()),
             fronts: RefCell::new((0..fleet.fronts).map(front).collect()),
@@ -339,6 +360,18 @@
         if let Some((free, share, window)) = f.budget {
             out += &format!("budget {free} {share} {window}s\n");
         }
+        if let Some(between) = &f.exchange {
+            let fronts = self.fronts.borrow();
+            let cut = |j: u32| between.cut.contains(&j);
+            let loss = if cut(i) { 1.0 } else { between.loss };
+            out += &format!(
+                "section exchange\nlisten {}\nkey rehearsal\nperiod 1s\nloss {loss}\n",
+                fronts[i as usize].exchange
+            );
+            for j in (0..f.fronts).filter(|j| *j != i && !cut(*j)) {
+                out += &format!("peer {}\n", fronts[j as usize].exchange);
+            }
+        }
         out += "section prices\nmoved 0.05\ncross-zone 0.04\nover-share-worth 0.2\n";
         for (t, share) in f.tenants.iter().enumerate() {
             out += &format!("section tenant tenant-{t}\nquota {}\n", share * v.rate * 1.2);
@@ -374,7 +407,7 @@
         {
             let mut fronts = self.fronts.borrow_mut();
             let f = &mut fronts[i as usize];
-            (f.child, f.address) = (Some(child), Some(up.address));
+            (f.child, f.address, f.admin) = (Some(child), Some(up.address), up.admin);
         }
         self.tell_viewers();
         Ok(())
@@ -392,6 +425,52 @@
         }
     }
 
+    /// Sends a change to a front's admin listener; anything but success ends the rehearsal.
+    pub async fn tell_front(&self, i: u32, method: &str, path: &str, body: String) -> Result<(), Fault> {
+        let failed = |why: String| Fault::Start(format!("{method} {path} at front-{i}"), why);
+        let admin = self.fronts.borrow()[i as usize].admin.ok_or_else(|| failed("it is down".into()))?;
+        let mut c = Connection::open(admin).await.map_err(|e| failed(format!("{e:?}")))?;
+        let key = [("authorization", "Bearer rehearsal")];
+        let reply = c.exchange(method, path, &key, body.as_bytes(), Duration::from_secs(2)).await;
+        match reply {
+            Ok(r) if r.status < 300 => Ok(()),
+            Ok(r) => Err(failed(format!("{} {}", r.status, String::from_utf8_lossy(&r.body)))),
+            Err(e) => Err(failed(format!("{e:?}"))),
+        }
+    }
+
+    /// Writes down ten times a second what each front says it holds.
+    pub async fn watch_holds(self: Rc<Self>) {
+        let key = [("authorization", "Bearer rehearsal")];
+        let mut open: BTreeMap<String, (SocketAddr, Connection)> = BTreeMap::new();
+        loop {
+            sleep(Duration::from_millis(100)).await;
+            let fronts: Vec<(String, SocketAddr)> = self
+                .fronts
+                .borrow()
+                .iter()
+                .filter_map(|f| Some((f.name.clone(), f.address.and(f.admin)?)))
+                .collect();
+            for (front, admin) in fronts {
+                if open.get(&front).is_none_or(|(at, _)| *at != admin) {
+                    let Ok(c) = Connection::open(admin).await else { continue };
+                    open.insert(front.clone(), (admin, c));
+                }
+                let Some((_, c)) = open.get_mut(&front) else { continue };
+                let reply = c.exchange("GET", "/peaks", &key, b"", Duration::from_secs(1)).await;
+                let Some(v) =
+                    reply.ok().and_then(|r| serde_json::from_slice::<serde_json::Value>(&r.body).ok())
+                else {
+                    open.remove(&front);
+                    continue;
+                };
+                let rows = v["holds"].as_array().cloned().unwrap_or_default();
+                let sum = |name: &str| rows.iter().filter_map(|h| h[name].as_f64()).sum();
+                self.recorder.write(What::Held { front, kb: sum("held_kb"), due_kb: sum("due_kb") });
+            }
+        }
+    }
+
     /// Kills a front's process.
     pub async fn kill_front(&self, i: u32) {
         let (name, child) = {
--- a/crates/rehearse/src/conduct/mod.rs
+++ b/crates/rehearse/src/conduct/mod.rs
@@ -73,6 +73,9 @@
     world.audience.borrow_mut().replace(audience.clone());
 
     let mut tasks = vec![spawn_local(world.clone().publish()), spawn_local(world.clone().share_uplinks())];
+    if day.fleet.exchange.is_some() {
+        tasks.push(spawn_local(world.clone().watch_holds()));
+    }
     let begin = Instant::now();
     for (i, trouble) in day.troubles.iter().cloned().enumerate() {
         let world = world.clone();
@@ -147,8 +150,8 @@
                     shares[tenant as usize] *= times;
                     rate *= 1.0 + usual * (times - 1.0);
                 }
-                Kind::HotTitle { titles, rate: more } => {
-                    hot = Some((titles, more / (rate + more)));
+                Kind::HotTitle { first, titles, rate: more } => {
+                    hot = Some((first, titles, more / (rate + more)));
                     rate += more;
                 }
                 _ => {}
@@ -163,8 +166,8 @@
         // Popularity falls with the square root of the rank, roughly.
         let usual = ((rng.random::<f64>().powi(2)) * f64::from(titles)) as u32;
         let title = match hot {
-            Some((few, share)) if rng.random_bool(share.clamp(0.0, 1.0)) => {
-                rng.random_range(0..few.clamp(1, titles))
+            Some((first, few, share)) if rng.random_bool(share.clamp(0.0, 1.0)) => {
+                (first + rng.random_range(0..few.max(1))).min(titles - 1)
             }
             _ => usual.min(titles - 1),
         };
--- a/crates/rehearse/src/conduct/troubles.rs
+++ b/crates/rehearse/src/conduct/troubles.rs
@@ -3,6 +3,7 @@
 use super::fleet::World;
 use super::{Fault, note};
 use crate::day::{Kind, Trouble};
+use pepperhook_playout::record::now;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -131,6 +132,18 @@
                 sleep(seconds(every_s.max(0.5))).await;
             }
         }
+        Kind::Announce { peak, front, title, viewers, rung, after_s, lasts_s, lead_s } => {
+            let start_ms = now() / 1_000_000 + (after_s * 1e3) as u64;
+            let said = serde_json::json!({
+                "name": peak, "titles": [format!("title-{title}")], "class": "replay", "viewers": [[0, viewers]],
+                "start_ms": start_ms, "end_ms": start_ms + (lasts_s * 1e3) as u64, "lead_ms": (lead_s * 1e3) as u64,
+                "rung": rung,
+            });
+            world.tell_front(*front, "POST", "/peaks", said.to_string()).await?;
+        }
+        Kind::CallOff { peak, front } => {
+            world.tell_front(*front, "DELETE", &format!("/peaks/{peak}"), String::new()).await?;
+        }
         // These change who comes; see `arrive`.
         Kind::Burst { .. } | Kind::TenantBurst { .. } | Kind::HotTitle { .. } => sleep(lasts).await,
     }
--- a/crates/rehearse/src/day.rs
+++ b/crates/rehearse/src/day.rs
@@ -59,6 +59,18 @@
     pub budget: Option<(f64, f64, f64)>,
     /// Shares of the tenants in the usual traffic; none where empty.
     pub tenants: Vec<f64>,
+    /// Fronts exchange records; else they know nothing of each other.
+    pub exchange: Option<Between>,
+}
+
+/// What lies between the fronts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Between {
+    /// Part of their datagrams that is lost.
+    pub loss: f64,
+    /// Fronts that are cut off: whatever they send is lost, and nobody sends to them.
+    pub cut: Vec<u32>,
 }
 
 impl Default for Fleet {
@@ -79,6 +91,7 @@
             repeat: "harmless".into(),
             budget: None,
             tenants: Vec::new(),
+            exchange: None,
         }
     }
 }
@@ -244,11 +257,40 @@
     },
     /// A crowd comes for few titles.
     HotTitle {
+        /// The first of them.
+        #[serde(default)]
+        first: u32,
         /// Titles.
         titles: u32,
         /// Viewers a second.
         rate: f64,
     },
+    /// A peak is announced at a front; it starts `after_s` later.
+    Announce {
+        /// Its name.
+        peak: String,
+        /// Front.
+        front: u32,
+        /// Title.
+        title: u32,
+        /// Viewers at once.
+        viewers: u32,
+        /// Rung held for each.
+        rung: u8,
+        /// Seconds until it starts.
+        after_s: f64,
+        /// Seconds that it lasts.
+        lasts_s: f64,
+        /// Seconds of lead.
+        lead_s: f64,
+    },
+    /// A peak is called off at a front.
+    CallOff {
+        /// Its name.
+        peak: String,
+        /// Front.
+        front: u32,
+    },
 }
 
 impl Day {
@@ -289,6 +331,10 @@
         if f.tenants.len() > 16 || f.tenants.iter().any(|s| !(0.0..=1.0).contains(s)) {
             return Err("fleet.tenants holds 16 shares at most, each between 0 and 1".into());
         }
+        let announces = |t: &Trouble| matches!(t.kind, Kind::Announce { .. } | Kind::CallOff { .. });
+        if f.exchange.is_none() && self.troubles.iter().any(announces) {
+            return Err("a day with announced peaks needs fleet.exchange".into());
+        }
         if !["harmless", "never"].contains(&f.repeat.as_str()) {
             return Err(format!("fleet.repeat is '{}'; harmless or never is allowed", f.repeat));
         }
@@ -303,6 +349,9 @@
                 | Kind::Hang { nodes, .. }
                 | Kind::Half { nodes, .. }
                 | Kind::Drain { nodes } => (nodes, &[]),
+                Kind::Announce { front, .. } | Kind::CallOff { front, .. } => {
+                    (&[], std::slice::from_ref(front))
+                }
                 Kind::FrontKill { fronts } | Kind::FrontStall { fronts, .. } => (&[], fronts),
                 _ => (&[], &[]),
             };
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`viewers`]: those who ask, play, come again and leave.
 //! - [`conduct`]: starts fronts and nodes as processes and causes the troubles.
 //! - [`checker`]: the rules. It shares no code with the front; what it knows is in the record.
+//! - [`peak`]: an announced peak, with and without the announcement.
 //! - [`report`]: figures of a run.
 
 pub mod checker;
 pub mod conduct;
 pub mod day;
+pub mod peak;
 pub mod report;
 pub mod viewers;
 pub mod wire;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -141,7 +141,7 @@
             Event::Left(id) => self.forget(now, id),
             Event::Note(id, server, kind, value) => self.note(now, (id, server, kind, value), out),
             Event::Probed(server, report) => self.probed(now, server, report, out),
-            Event::Held(id, titles, on) => self.hold(id, titles, on),
+            Event::Held(id, hold) => self.hold(id, hold),
             Event::ListFailed | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(token) => self.give_up(now, SessionId(token), out),
@@ -292,29 +292,40 @@
         );
     }
 
-    /// Departure, only where a peak was announced: room is held for viewers of some titles.
-    fn hold(&mut self, id: HoldId, titles: Vec<TitleId>, mut on: Vec<(ServerId, f64)>) {
-        on.retain(|(_, kb)| kb.is_finite() && *kb > 0.0);
+    /// Departure, only where a peak was announced: room is held for viewers who are still to come.
+    fn hold(&mut self, id: HoldId, mut hold: Hold) {
+        hold.on.retain(|(_, kb)| kb.is_finite() && *kb > 0.0);
         self.holds.remove(&id);
-        if !on.is_empty() {
-            self.holds.insert(id, Hold { titles: titles.into_iter().collect(), on });
+        if !hold.on.is_empty() {
+            self.holds.insert(id, hold);
         }
     }
 
-    /// What is held on a rack, and of that on one server, for viewers of other titles than this one. It
-    /// stands for demand that is asked for already: forecast, admission and rises see it. Shedding never
-    /// does, so that nobody is lowered for room that nobody uses yet.
-    fn held(&self, rack: u32, on: Option<ServerId>, title: Option<TitleId>) -> (f64, f64) {
-        let others = self.holds.values().filter(|h| title.is_none_or(|t| !h.titles.contains(&t)));
-        let there = others.flat_map(|h| &h.on).filter(|(id, _)| {
+    /// What is held on a rack, and of that on one server. It stands for demand that is asked for already:
+    /// forecast, admission and rises see it. Shedding never does, so that nobody is lowered for room that
+    /// nobody uses yet. A newcomer it is held for finds all of it free for its first worthwhile rung, and one
+    /// viewer's part for more: else the first to come would take the room of those after them.
+    fn held(&self, rack: u32, on: Option<ServerId>, newcomer: Option<(TitleId, bool)>) -> (f64, f64) {
+        let there = |id: &ServerId| {
             self.servers.get(id).is_some_and(|s| s.rack == rack && s.entry.state == ServerState::Ready)
-        });
-        there.fold((0.0, 0.0), |sum, (id, kb)| (sum.0 + kb, if on == Some(*id) { sum.1 + kb } else { sum.1 }))
+        };
+        self.holds.values().fold((0.0, 0.0), |sum, h| {
+            let free = match newcomer.filter(|(t, _)| h.titles.contains(t)) {
+                Some((_, true)) => f64::INFINITY,
+                Some((_, false)) => h.each,
+                None => 0.0,
+            };
+            let all: f64 = h.on.iter().filter(|(id, _)| there(id)).map(|(_, kb)| kb).sum();
+            let here: f64 =
+                h.on.iter().filter(|(id, _)| on == Some(*id) && there(id)).map(|(_, kb)| kb).sum();
+            (sum.0 + (all - free).max(0.0), sum.1 + (here - free).max(0.0))
+        })
     }
 
-    /// Use of the fuller of link and uplink with `kb` more for a viewer of this title.
-    fn strain(&self, now: Time, server: &Server, kb: f64, title: TitleId) -> f64 {
-        let (in_rack, here) = self.held(server.rack, Some(server.entry.server), Some(title));
+    /// Use of the fuller of link and uplink with `kb` more: for a newcomer to this title, on its first rung
+    /// or a higher one, or for one who plays.
+    fn strain(&self, now: Time, server: &Server, kb: f64, newcomer: Option<(TitleId, bool)>) -> f64 {
+        let (in_rack, here) = self.held(server.rack, Some(server.entry.server), newcomer);
         let link = self.link_use(now, server) + (kb + here) / self.link_kb(now, server);
         link.max(self.uplink_use(now, server.rack) + (kb + in_rack) / self.set.uplink_kb)
     }
@@ -450,7 +461,7 @@
                 && self.sound(now, t)
                 && self.warmth(now, t) >= 1.0
                 && holds(&self.set, t, &s.wish)
-                && self.strain(now, t, kb, s.wish.title) <= MARK
+                && self.strain(now, t, kb, None) <= MARK
         };
         !idle && gain > self.set.prices.moved && self.servers.values().any(fit)
     }
@@ -538,11 +549,11 @@
             }
             let (at, rung, held) = (server.entry.server, s.rung + 1, rate(&self.set, s.class, s.rung));
             let kb = (self.added_kb(server, s, rung) - held).max(0.0);
-            let used = self.strain(now, server, 0.0, s.wish.title);
+            let used = self.strain(now, server, 0.0, None);
             let part = (MARK - used) / (used * kb / held).max(1e-6);
             // A rise may have to be taken back, so that it must earn two switches.
             let earns = self.step(s, rung, -2.0).0 > 0.0 && rung <= self.fair_rung(&sample, used, s);
-            let fits = earns && self.strain(now, server, kb, s.wish.title) <= MARK;
+            let fits = earns && self.strain(now, server, kb, None) <= MARK;
             self.sessions.entry(id).and_modify(|s| s.weighed = now);
             if fits && self.chance(part) {
                 self.set_rung(now, id, rung, out);
@@ -601,11 +612,12 @@
             if s.shun.contains(&server.entry.server) || full || !self.may_send(now, id, server) {
                 continue;
             }
-            let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r), s.wish.title);
-            let used = self.strain(now, server, 0.0, s.wish.title);
-            let fair = self.fair_rung(&sample, used, s).min(s.cap);
             // The first worthwhile rung may go past the mark: the others there will make room.
             let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r);
+            let newcomer = |r: u8| Some((s.wish.title, r <= entry));
+            let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r), newcomer(r));
+            let used = self.strain(now, server, 0.0, Some((s.wish.title, false)));
+            let fair = self.fair_rung(&sample, used, s).min(s.cap);
             let fits = |r: &u8| with(*r) <= if *r <= entry { ENTRY } else { MARK };
             let Some(rung) = (class.floor..=fair.max(class.floor)).rev().find(fits) else { continue };
             let alerted = self.racks[server.rack as usize].alert_until > now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -351,6 +351,19 @@
     UplinkUse,
 }
 
+/// Room held for viewers of some titles who are still to come: to everyone else it counts as asked for. It takes
+/// the place of what its [`HoldId`] held before; one that holds nothing releases it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hold {
+    /// For whom.
+    pub titles: Vec<TitleId>,
+    /// Held for each viewer, kB a second: a newcomer's rungs above its first find so much of it free, the rest is
+    /// for those after.
+    pub each: f64,
+    /// Where, and how much there, kB a second.
+    pub on: Vec<(ServerId, f64)>,
+}
+
 /// What happens at a front end.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -385,9 +398,8 @@
     Note(SessionId, ServerId, NoteKind, f64),
     /// A probe's answer; `None` if it failed.
     Probed(ServerId, Option<Vec<f64>>),
-    /// Room held on servers, kB a second, for viewers of these titles: to everyone else it counts as asked for.
-    /// Takes the place of what the hold was before; nothing held releases it.
-    Held(HoldId, Vec<TitleId>, Vec<(ServerId, f64)>),
+    /// Room held on servers, kB a second, for viewers who are still to come.
+    Held(HoldId, Hold),
     /// A message from another front.
     Message(u16, Vec<u8>),
     /// A timer that the module had set.
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,12 +64,6 @@
     pub sends: SlidingSum,
 }
 
-/// Room held for viewers of some titles.
-pub struct Hold {
-    pub titles: BTreeSet<TitleId>,
-    pub on: Vec<(ServerId, f64)>,
-}
-
 #[derive(Default)]
 pub struct Rack {
     /// Servers that the list has placed there.
--- a/tests/holds.rs
+++ b/tests/holds.rs
@@ -13,7 +13,7 @@
 
 fn hold(f: &mut Front, on: &[(u32, f64)]) -> Vec<Action> {
     let on = on.iter().map(|(id, kb)| (ServerId(*id), *kb)).collect();
-    f.tell(Event::Held(HoldId(1), vec![EVENT], on))
+    f.tell(Event::Held(HoldId(1), Hold { titles: vec![EVENT], each: 350.0, on }))
 }
 
 /// One server of 10 MB/s, its link seen to be hardly used.
@@ -48,12 +48,28 @@
     let sum = |r: &[Option<u8>]| r.iter().flatten().map(|r| u32::from(*r) + 1).sum::<u32>();
     assert!(sum(&held) < sum(&free), "{held:?} {free:?}");
     // The event's viewers find what the ordinary ones did not get.
-    let event = rungs(&mut f, 100, 6, event_viewer);
-    assert!(event.iter().all(Option::is_some), "{event:?}");
+    for n in 0..6 {
+        let came = rungs(&mut f, 100 + n, 1, event_viewer);
+        assert!(came[0].is_some(), "viewer {n}");
+        hold(&mut f, &[(1, 7_000.0 - 350.0 * (n + 1) as f64)]);
+    }
     let refused = rungs(&mut f, 200, 6, ordinary);
     assert!(refused.iter().any(Option::is_none), "{refused:?}");
 }
 
+#[test]
+fn the_first_to_come_do_not_take_the_room_of_those_after_them() {
+    let mut f = one();
+    hold(&mut f, &[(1, 7_000.0)]);
+    let mut rungs = Vec::new();
+    for n in 0..20 {
+        rungs.extend(self::rungs(&mut f, 100 + n, 1, event_viewer));
+        // One viewer's part turns into a session.
+        hold(&mut f, &[(1, 7_000.0 - 350.0 * (n + 1) as f64)]);
+    }
+    assert!(rungs.iter().all(Option::is_some), "{rungs:?}");
+}
+
 #[test]
 fn a_released_hold_leaves_nothing_behind() {
     let ordinary = |n| wish(n, 0.0, 1.0);
