--- a/crates/front/benches/engine.rs
+++ b/crates/front/benches/engine.rs
@@ -6,6 +6,7 @@
 use pepperhook::{ServerId, TitleId, ViewerKey};
 use pepperhook_front::engine::Engine;
 use pepperhook_front::engine::types::*;
+use pepperhook_peaks::{Announcement, Peak};
 use pepperhook_settings::Config;
 use pepperhook_signalling::LoadReport;
 use std::hint::black_box;
@@ -122,12 +123,39 @@
     group.finish();
 }
 
+/// What peaks that are held add to one request, on 60 nodes; their plans, made twice a second, are included.
+fn by_peaks(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request-with-peaks");
+    for peaks in [0u32, 1, 10, 50] {
+        let mut run = Run::new(60);
+        let now_ms = run.now / MS;
+        for p in 0..peaks {
+            let said = Announcement {
+                name: format!("peak-{p}"),
+                titles: vec![format!("event-{p}")],
+                class: "replay".into(),
+                viewers: vec![(0, 20)],
+                start_ms: now_ms + 3_000_000,
+                end_ms: now_ms + 3_600_000,
+                lead_ms: 3_600_000,
+                rung: 1,
+                cancelled: false,
+            };
+            let titles = vec![(TitleId(1_000 + u64::from(p)), p * 7 % 60, 4)];
+            let peak = Peak { number: u64::from(p), said, titles, kb: 350.0 };
+            run.engine.handle(run.now, Input::Peak(peak), &mut run.effects);
+        }
+        group.bench_with_input(BenchmarkId::from_parameter(peaks), &peaks, |b, _| b.iter(|| run.once()));
+    }
+    group.finish();
+}
+
 // The macro makes a public function without docs.
 #[allow(missing_docs)]
 mod group {
-    use super::by_fleet;
+    use super::{by_fleet, by_peaks};
     use criterion::criterion_group;
-    criterion_group!(benches, by_fleet);
+    criterion_group!(benches, by_fleet, by_peaks);
 }
 
 criterion_main!(group::benches);
