--- a/crates/rehearse/src/peak.rs
+++ b/crates/rehearse/src/peak.rs
@@ -210,7 +210,8 @@
     let mut out = BTreeMap::new();
     for line in lines.iter().filter(|l| l.t <= t) {
         if let What::Held { front, kb, .. } = &line.what {
-            out.insert(front.clone(), kb / announced_kb);
+            // A sum of nothing is minus zero.
+            out.insert(front.clone(), (kb / announced_kb).abs());
         }
     }
     out
