--- a/crates/peaks/src/plan.rs
+++ b/crates/peaks/src/plan.rs
@@ -91,14 +91,18 @@
         held.push(need.holders.iter().map(|h| (*h, vars.add(variable().min(0.0)))).collect());
     }
     let fullest = vars.add(variable().min(0.0).max(1.0));
-    let all: f64 = problem.needs.iter().map(|n| n.kb).sum::<f64>().max(1.0);
+    // A kB on the smallest holder raises the fullest part by one over its room: weighed by that room, spreading
+    // never costs more than a hundredth of what is placed.
+    let rooms = problem.needs.iter().flat_map(|n| &n.holders).map(|h| problem.nodes[*h].kb);
+    let smallest = rooms.filter(|kb| *kb > 1e-6).fold(f64::INFINITY, f64::min);
+    let spread = if smallest.is_finite() { smallest * 0.01 } else { 0.0 };
     // Placing a kB is worth more the earlier its peak was announced, and always more than spreading it.
     let mut worth = Expression::from(0.0);
     for (need, on) in problem.needs.iter().zip(&held) {
         let weight = 1.0 + 1.0 / (1.0 + need.order as f64);
         on.iter().for_each(|(_, v)| worth += *v * weight);
     }
-    worth -= fullest * (all * 0.01);
+    worth -= fullest * spread;
     let sum = |on: &mut dyn Iterator<Item = Variable>| on.fold(Expression::from(0.0), |s, v| s + v);
     let mut model = vars.maximise(worth).using(default_solver);
     for (need, on) in problem.needs.iter().zip(&held) {
