One stable hash for names and contents; one place where a parked request is taken out

Reading the change again found the same hash written in three places (node ids, contents of lists, names of titles and peaks) and the search for a parked request in two. One function each now; the hashes are the same, so that ids and records stay what they were.

--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -323,6 +323,12 @@
         }
     }
 
+    /// A request no longer waits for the closing of an earlier attempt; false if it did not.
+    fn unpark(&mut self, ticket: Ticket) -> bool {
+        let key = self.parked.iter().find(|(_, p)| p.ticket == ticket).map(|(key, _)| *key);
+        key.and_then(|key| self.parked.remove(&key)).is_some()
+    }
+
     /// What a viewer's patience leaves for the set-up, the margin taken off.
     fn patience(&self, class: u16) -> Time {
         let patience = self.config.classes.get(usize::from(class)).map_or(0, |c| c.patience);
@@ -365,8 +371,7 @@
     /// The connection of a waiting request closed: when nobody waits any more, the set-up is called off.
     fn left(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Effect>) {
         self.tally.left += 1;
-        if let Some(key) = self.parked.iter().find(|(_, p)| p.ticket == ticket).map(|(k, _)| *k) {
-            self.parked.remove(&key);
+        if self.unpark(ticket) {
             return;
         }
         let Some(id) = self.tickets.remove(&ticket) else { return };
@@ -379,8 +384,7 @@
 
     /// Rule 1's last guard: whatever happened to a request, it is answered before its viewer gives up.
     fn backstop(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Effect>) {
-        if let Some(key) = self.parked.iter().find(|(_, p)| p.ticket == ticket).map(|(k, _)| *k) {
-            self.parked.remove(&key);
+        if self.unpark(ticket) {
             self.tally.backstops += 1;
             return self.answer(ticket, Answer::Failed, out);
         }
--- a/crates/inventory/src/keep.rs
+++ b/crates/inventory/src/keep.rs
@@ -1,9 +1,7 @@
 //! Keeps the last good list: looks at the file, and at a copy of its own where the file cannot be used.
 
-use crate::{Fault, MOST_BYTES, Names, Node, read};
-use siphasher::sip::SipHasher13;
+use crate::{Fault, MOST_BYTES, Names, Node, read, stable_hash};
 use std::fs;
-use std::hash::Hasher;
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 
@@ -31,12 +29,6 @@
     done: Option<u64>,
 }
 
-fn hash(bytes: &[u8]) -> u64 {
-    let mut h = SipHasher13::new();
-    h.write(bytes);
-    h.finish()
-}
-
 fn load(path: &Path) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     fs::File::open(path)?.take(MOST_BYTES + 1).read_to_end(&mut bytes)?;
@@ -64,7 +56,7 @@
     /// The file's faults, where there is no copy that can be used.
     pub fn start(&mut self) -> Result<(Vec<Node>, Vec<Fault>), Vec<Fault>> {
         let bytes = load(&self.file);
-        self.seen = bytes.as_ref().ok().map(|b| hash(b));
+        self.seen = bytes.as_ref().ok().map(|b| stable_hash(b));
         self.done = self.seen;
         let faults = match bytes.as_ref().map(|b| read(b, &self.names)) {
             Ok(Ok(nodes)) => {
@@ -88,7 +80,7 @@
                 return if first { Look::Bad(unreadable(&e)) } else { Look::Same };
             }
         };
-        let now = Some(hash(&bytes));
+        let now = Some(stable_hash(&bytes));
         if now == self.done {
             self.seen = now;
             return Look::Same;
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -60,12 +60,19 @@
     }
 }
 
+/// A hash that is the same in every process and on every machine: of names that fronts must agree on without
+/// speaking, and of contents that are compared.
+#[must_use]
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    let mut h = SipHasher13::new();
+    h.write(bytes);
+    h.finish()
+}
+
 /// The id of a node: a stable hash of its name, so that no front needs to agree on it with another.
 #[must_use]
 pub fn node_id(name: &str) -> ServerId {
-    let mut h = SipHasher13::new();
-    h.write(name.as_bytes());
-    let bits = h.finish();
+    let bits = stable_hash(name.as_bytes());
     ServerId((bits ^ (bits >> 32)) as u32)
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,9 +17,7 @@
 };
 use pepperhook_inventory::Names;
 use read::{Fields, time};
-use siphasher::sip::SipHasher13;
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
@@ -222,9 +220,7 @@
 /// A stable id of a name.
 #[must_use]
 pub fn name_hash(name: &str) -> u64 {
-    let mut h = SipHasher13::new();
-    h.write(name.as_bytes());
-    h.finish()
+    pepperhook_inventory::stable_hash(name.as_bytes())
 }
 
 impl Config {
