--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -35,6 +35,20 @@
     Send(SocketAddr, Vec<u8>),
     /// A record is new or newer.
     Changed(Record),
+    /// A message of another matter came along in a sealed datagram: who sent it, in which run of theirs.
+    Heard {
+        /// Where it came from.
+        from: SocketAddr,
+        /// Number of the front that sealed it.
+        sender: u64,
+        /// The matter; see [`Exchange::carry`].
+        lane: u8,
+        /// What it says.
+        content: Vec<u8>,
+    },
+    /// The others know a later run of this front than its own (its clock went back over a restart); this is its
+    /// run from now on.
+    Run(u64),
 }
 
 /// What was sent, taken and thrown away.
@@ -60,6 +74,10 @@
     Pull(Vec<Id>),
     /// Records.
     Push(Vec<Record>),
+    /// A message of another matter, handed on as it is.
+    Lane(u8, Vec<u8>),
+    /// The receiver's datagrams are thrown away, since they belong to an earlier run than this one.
+    Behind(u64),
 }
 
 /// Entries of a digest: they fill a datagram.
@@ -70,6 +88,12 @@
 const BURST: f64 = 32.0;
 /// Datagrams taken from one peer a second, and at once.
 const TAKEN_RATE: f64 = 128.0;
+/// Bytes of a lane's message at most: what a datagram has beside its seal and the message's own head.
+pub const MOST_LANE: usize = MOST_DATAGRAM - 60;
+/// Runs that a front raises on the word of others, in a minute: two fronts of one name would go on for ever.
+const RAISES: f64 = 4.0;
+/// Records of soft spaces that wait to be passed on, at most.
+const MOST_SOFT: usize = 512;
 
 /// A bound on how much passes in a time.
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +126,9 @@
     taken: BTreeMap<u64, Bucket>,
     rng: StdRng,
     counters: Counters,
+    /// Soft records that were learned and are passed on with the next tick.
+    soft: Vec<Record>,
+    raises: Bucket,
 }
 
 impl Exchange {
@@ -121,6 +148,8 @@
             answers: BTreeMap::new(),
             taken: BTreeMap::new(),
             counters: Counters::default(),
+            soft: Vec::new(),
+            raises: Bucket { left: RAISES, at_ms: now_ms },
             settings,
         }
     }
@@ -137,6 +166,27 @@
         &self.counters
     }
 
+    /// The others, from now on: those of the settings, and whoever is found to be there.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        self.answers.retain(|at, _| peers.contains(at));
+        self.settings.peers = peers;
+    }
+
+    /// This front's run, as the others must take it.
+    #[must_use]
+    pub fn run(&self) -> u64 {
+        self.settings.run
+    }
+
+    /// Sends a message of another matter under the same seal; false where it is too long. It may be lost.
+    pub fn carry(&mut self, to: SocketAddr, lane: u8, content: &[u8], out: &mut Vec<Out>) -> bool {
+        let fits = content.len() <= MOST_LANE;
+        if fits {
+            self.send(to, &Message::Lane(lane, content.to_vec()), out);
+        }
+        fits
+    }
+
     /// A new version of a record, made here: one more than the one that is held.
     pub fn put(&mut self, now_ms: u64, id: Id, expires_ms: u64, body: Vec<u8>, out: &mut Vec<Out>) -> Merge {
         let counter = self.records.get(&id).map_or(0, |r| r.version.counter).saturating_add(1);
@@ -164,6 +214,7 @@
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Out>) {
         let period = self.settings.period_ms.max(10);
         let due = *self.next_ms.get_or_insert(now_ms + self.rng.random_range(0..period));
+        self.pass_on(now_ms, out);
         if now_ms < due {
             return;
         }
@@ -176,6 +227,17 @@
         }
     }
 
+    /// Passes soft records on that were learned since the last tick, many to a datagram.
+    fn pass_on(&mut self, now_ms: u64, out: &mut Vec<Out>) {
+        if self.soft.is_empty() {
+            return;
+        }
+        let soft = std::mem::take(&mut self.soft);
+        for peer in self.some_peers(self.settings.fanout + 1) {
+            self.push(now_ms, peer, soft.clone(), out);
+        }
+    }
+
     fn some_peers(&mut self, most: usize) -> Vec<SocketAddr> {
         let mut peers = self.settings.peers.clone();
         let (some, _) = peers.partial_shuffle(&mut self.rng, most);
@@ -185,7 +247,7 @@
     /// The next stretch of records; the whole of them is told in as many rounds as it takes.
     fn digest(&mut self) -> Message {
         let from = self.cursor;
-        let mut rest = self.records.from(from);
+        let mut rest = self.records.from(from).filter(|r| !r.id.is_soft());
         let entries: Vec<(Id, Version)> = rest.by_ref().take(DIGEST).map(|r| (r.id, r.version)).collect();
         let to = rest.next().map(|r| r.id);
         self.cursor = to;
@@ -227,16 +289,20 @@
     ) -> Result<(), Reject> {
         let taken = self.open(now_ms, datagram);
         match taken {
-            Ok(message) => {
+            Ok((sender, message)) => {
                 self.counters.taken += 1;
-                self.answer(now_ms, from, message, out);
+                self.answer(now_ms, from, sender, message, out);
                 Ok(())
             }
             Err(why) => {
+                // A front that came back with its clock behind is told so; anything else gets no answer.
+                if let Reject::Behind(known) = why {
+                    self.reply(now_ms, from, &Message::Behind(known), out);
+                }
                 let name = match why {
                     Reject::Form => "form",
                     Reject::Key => "key",
-                    Reject::Replay => "replay",
+                    Reject::Replay | Reject::Behind(_) => "replay",
                     Reject::Content => "content",
                     Reject::Rate => "rate",
                     Reject::Own => "own",
@@ -247,7 +313,7 @@
         }
     }
 
-    fn open(&mut self, now_ms: u64, datagram: &[u8]) -> Result<Message, Reject> {
+    fn open(&mut self, now_ms: u64, datagram: &[u8]) -> Result<(u64, Message), Reject> {
         let (sender, content) = self.seal.open(datagram)?;
         if self.taken.len() > 2 * 1_024 {
             self.taken.clear();
@@ -256,17 +322,18 @@
         if !bucket.take(now_ms, TAKEN_RATE, TAKEN_RATE) {
             return Err(Reject::Rate);
         }
-        postcard::from_bytes(content).map_err(|_| Reject::Content)
+        Ok((sender, postcard::from_bytes(content).map_err(|_| Reject::Content)?))
     }
 
-    fn answer(&mut self, now_ms: u64, from: SocketAddr, message: Message, out: &mut Vec<Out>) {
+    fn answer(&mut self, now_ms: u64, from: SocketAddr, sender: u64, message: Message, out: &mut Vec<Out>) {
         match message {
             Message::Digest { from: low, to: high, entries } => {
                 let theirs: BTreeMap<Id, Version> = entries.into_iter().take(DIGEST).collect();
                 let newer = |id: &Id, v: &Version| self.records.get(id).is_none_or(|r| r.version < *v);
                 let wanted: Vec<Id> =
                     theirs.iter().filter(|(id, v)| newer(id, v)).map(|(id, _)| *id).take(PULL).collect();
-                let here = self.records.from(low).take_while(|r| high.is_none_or(|h| r.id < h));
+                let here = self.records.from(low).filter(|r| !r.id.is_soft());
+                let here = here.take_while(|r| high.is_none_or(|h| r.id < h));
                 let ours: Vec<Record> =
                     here.filter(|r| theirs.get(&r.id).is_none_or(|v| *v < r.version)).cloned().collect();
                 if !wanted.is_empty() {
@@ -282,6 +349,13 @@
                 for record in records {
                     if self.records.merge(now_ms, record.clone()) == Merge::Taken {
                         self.counters.records += 1;
+                        if record.id.is_soft() {
+                            // It will soon be out of date, and there are many: they travel together.
+                            self.soft.truncate(MOST_SOFT - 1);
+                            self.soft.push(record.clone());
+                            out.push(Out::Changed(record));
+                            continue;
+                        }
                         // Whoever learns something tells a few others, once: that reaches most within a few
                         // datagrams' time, and the rounds reach the rest.
                         for peer in self.some_peers(self.settings.fanout + 1) {
@@ -293,6 +367,14 @@
                     }
                 }
             }
+            Message::Lane(lane, content) => out.push(Out::Heard { from, sender, lane, content }),
+            Message::Behind(known) => {
+                if known > self.settings.run && self.raises.take(now_ms, RAISES / 60.0, RAISES) {
+                    self.settings.run = known.saturating_add(1);
+                    self.seal.raise(self.settings.run);
+                    out.push(Out::Run(self.settings.run));
+                }
+            }
         }
     }
 
--- a/crates/exchange/src/records.rs
+++ b/crates/exchange/src/records.rs
@@ -16,12 +16,24 @@
 /// Which record: the space tells what it is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id {
-    /// 1: announced peaks.
+    /// 1: announced peaks. From [`SOFT`] on: what is soon out of date.
     pub space: u8,
     /// Number within the space.
     pub number: u64,
 }
 
+/// Records of this space and higher ones say what will soon be said anew: they are passed on, but neither told in
+/// digests nor kept over a restart.
+pub const SOFT: u8 = 128;
+
+impl Id {
+    /// See [`SOFT`].
+    #[must_use]
+    pub fn is_soft(&self) -> bool {
+        self.space >= SOFT
+    }
+}
+
 /// Versions are ordered by counter, then by author: no clock is needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Version {
--- a/crates/exchange/src/seal.rs
+++ b/crates/exchange/src/seal.rs
@@ -44,8 +44,10 @@
     Form,
     /// The MAC is wrong.
     Key,
-    /// It came before, or belongs to an earlier run of its sender.
+    /// It came before.
     Replay,
+    /// It belongs to an earlier run of its sender than this, the last one known.
+    Behind(u64),
     /// Its content is no message.
     Content,
     /// Its sender sends more than it may.
@@ -64,10 +66,8 @@
 }
 
 impl Window {
+    /// Whether a datagram of the last run known, or a later one, is new.
     fn take(&mut self, run: u64, counter: u64) -> bool {
-        if run < self.run {
-            return false;
-        }
         if run > self.run {
             *self = Self { run, highest: counter, seen: 1 };
             return true;
@@ -117,6 +117,11 @@
         Self { keys, me, run, counter: 0, senders: BTreeMap::new() }
     }
 
+    /// A later run from now on; its datagrams are counted from the start.
+    pub fn raise(&mut self, run: u64) {
+        (self.run, self.counter) = (run, 0);
+    }
+
     /// Seals content.
     pub fn seal(&mut self, content: &[u8]) -> Vec<u8> {
         self.counter += 1;
@@ -150,6 +155,9 @@
         }
         match self.senders.get_mut(&sender) {
             Some(window) => {
+                if run < window.run {
+                    return Err(Reject::Behind(window.run));
+                }
                 if !window.take(run, counter) {
                     return Err(Reject::Replay);
                 }
@@ -215,6 +223,6 @@
         assert_eq!(b.open(&all[4]), Err(Reject::Replay), "too far behind to be told from a replay");
         let mut restarted = Seal::new(keys, 1, 11);
         assert!(b.open(&restarted.seal(b"x")).is_ok());
-        assert_eq!(b.open(&all[68]), Err(Reject::Replay), "of the run before");
+        assert_eq!(b.open(&all[68]), Err(Reject::Behind(11)), "of the run before");
     }
 }
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -7,11 +7,13 @@
 //! - [`conduct`]: starts fronts and nodes as processes and causes the troubles.
 //! - [`checker`]: the rules. It shares no code with the front; what it knows is in the record.
 //! - [`peak`]: an announced peak, with and without the announcement.
+//! - [`duties`]: shared duties, by fronts in one process or as processes.
 //! - [`report`]: figures of a run.
 
 pub mod checker;
 pub mod conduct;
 pub mod day;
+pub mod duties;
 pub mod peak;
 pub mod report;
 pub mod viewers;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -130,7 +130,7 @@
             Event::UnderWay(id, wish, server) => self.under_way(now, id, wish, server),
             Event::Started(id, server) => self.started(now, id, server),
             Event::Ended { session, server, outcome, settled, report } => {
-                self.report(now, server, &report);
+                self.report(now, now, server, &report);
                 self.symptom(now, session, server, outcome, out);
                 if settled {
                     self.forget(now, session);
@@ -141,6 +141,10 @@
             Event::Left(id) => self.forget(now, id),
             Event::Note(id, server, kind, value) => self.note(now, (id, server, kind, value), out),
             Event::Probed(server, report) => self.probed(now, server, report, out),
+            Event::Seen(server, age, values) => {
+                self.report(now, ago(now, age), server, &values);
+                self.relieve(now, server, out);
+            }
             Event::Held(id, hold) => self.hold(id, hold),
             Event::ListFailed | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
@@ -330,15 +334,19 @@
         link.max(self.uplink_use(now, server.rack) + (kb + in_rack) / self.set.uplink_kb)
     }
 
-    /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction.
-    fn report(&mut self, now: Time, id: ServerId, values: &[f64]) {
+    /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction. One that
+    /// another front took some time ago changes nothing where a later one is known.
+    fn report(&mut self, now: Time, at: Time, id: ServerId, values: &[f64]) {
         let Some(server) = self.servers.get(&id) else { return };
         let (link, uplink) = (self.link_use(now, server), self.uplink_use(now, server.rack));
         let Some(server) = self.servers.get_mut(&id) else { return };
         for (gauge, value) in self.set.gauges.iter().zip(values.iter().copied()) {
-            let reading = |was: f64| Some(Reading { used: was + TRUST * (value.min(10.0) - was), at: now });
+            let reading = |was: f64| Some(Reading { used: was + TRUST * (value.min(10.0) - was), at });
+            let known = |r: Option<Reading>| r.is_some_and(|r| r.at > at);
             match gauge {
                 _ if !value.is_finite() || value < 0.0 => {}
+                Gauge::Link | Gauge::LinkCapped | Gauge::Streams if known(server.link) => {}
+                Gauge::Uplink if known(self.racks[server.rack as usize].uplink) => {}
                 Gauge::Streams => server.streams = Some(value),
                 // At its upper end this gauge tells no more than that the link is full.
                 Gauge::LinkCapped if value >= DELIVERED && server.link.is_some_and(|r| r.used > value) => {}
@@ -782,7 +790,7 @@
     fn probed(&mut self, now: Time, server: ServerId, report: Option<Vec<f64>>, out: &mut Vec<Action>) {
         match report {
             Some(values) => {
-                self.report(now, server, &values);
+                self.report(now, now, server, &values);
                 self.relieve(now, server, out);
             }
             None => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -398,6 +398,8 @@
     Note(SessionId, ServerId, NoteKind, f64),
     /// A probe's answer; `None` if it failed.
     Probed(ServerId, Option<Vec<f64>>),
+    /// What another front saw of a server so long ago, in the order of [`Settings::gauges`].
+    Seen(ServerId, Time, Vec<f64>),
     /// Room held on servers, kB a second, for viewers who are still to come.
     Held(HoldId, Hold),
     /// A message from another front.
