The front shares duties: nodes asked for their load by OPTIONS, readings heard from other fronts

The front runs fleet instead of the bare exchange; a section duties in its settings turns probes on, the stand-in answers OPTIONS with its load report and records who asked; the engine hands readings with their age to the module and tells how old they were when a session was placed. rehearse duties: eight processes with kills, a stall, a crash and a drain, or any number of fronts in one process; a checker of coverage that shares no code, with planted gaps and crowds.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -4,6 +4,8 @@
 use clap::Subcommand;
 use pepperhook_rehearse::conduct::play;
 use pepperhook_rehearse::day::{Day, bad_day};
+use pepperhook_rehearse::duties::many::many;
+use pepperhook_rehearse::duties::net::Options;
 use pepperhook_rehearse::peak::Variation;
 use std::path::PathBuf;
 
@@ -41,6 +43,26 @@
         #[command(flatten)]
         out: Out,
     },
+    /// Duties shared by eight fronts, with kills, a stall, a crash and a drain; gaps and work done twice by the nodes' sockets.
+    Duties {
+        /// Seed of the viewers.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Front processes, 2 to 8; with --in-process 2 to 1000.
+        #[arg(long, default_value_t = 8)]
+        fronts: u32,
+        /// Part of the datagrams between fronts that is lost, 0 to 1.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// The fronts' own code in this process, on a network and clocks in memory.
+        #[arg(long)]
+        in_process: bool,
+        /// With --in-process: nodes.
+        #[arg(long, default_value_t = 200)]
+        nodes: usize,
+        #[command(flatten)]
+        out: Out,
+    },
     /// A day file; see docs/rehearsals.md and the folder days/.
     Replay {
         /// The file.
@@ -81,6 +103,24 @@
             }
             return rehearse_peak(&Variation { seed, fronts, loss, cut }, &out).await;
         }
+        What::Duties { seed, fronts, loss, in_process, nodes, out } => {
+            let most = if in_process { 1_000 } else { 8 };
+            if !(0.0..=1.0).contains(&loss) || !(2..=most).contains(&fronts) || !(1..=10_000).contains(&nodes)
+            {
+                eprintln!("pepperhook: --loss is between 0 and 1, --fronts 2 to {most}, --nodes 1 to 10000");
+                return Exit::Usage;
+            }
+            if in_process {
+                let options = Options { fronts: fronts as usize, nodes, seed, loss, ..Options::default() };
+                let report = many(&options);
+                return finish(&report, &out, report.coverage.breaches.is_empty());
+            }
+            return rehearse_duties(
+                &pepperhook_rehearse::duties::run::Variation { seed, fronts, loss },
+                &out,
+            )
+            .await;
+        }
         What::Replay { day, out } => {
             let text = std::fs::read_to_string(&day).map_err(|e| e.to_string());
             (text.and_then(|t| Day::parse(&t)).map_err(|e| format!("{}: {e}", day.display())), out)
@@ -149,6 +189,26 @@
     }
 }
 
+async fn rehearse_duties(v: &pepperhook_rehearse::duties::run::Variation, out: &Out) -> Exit {
+    let (_temporary, dir, program) = match stage(out) {
+        Ok(stage) => stage,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            return Exit::Usage;
+        }
+    };
+    match pepperhook_rehearse::duties::run::rehearse(v, &program, &dir, tell(out.quiet)).await {
+        Ok(report) => {
+            let kept = report.rules_broken.is_empty() && report.coverage.breaches.is_empty();
+            finish(&report, out, kept)
+        }
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            Exit::Failed
+        }
+    }
+}
+
 async fn rehearse_peak(v: &Variation, out: &Out) -> Exit {
     let (_temporary, dir, program) = match stage(out) {
         Ok(stage) => stage,
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod claims;
 mod peaks;
+mod readings;
 mod tally;
 pub mod types;
 mod view;
@@ -26,13 +27,14 @@
 use pepperhook_signalling::{EVENT_MOVE, LoadReport};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
+pub use readings::life;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 pub use tally::Tally;
 use types::*;
-pub use view::{NodeRow, RackRow, Snapshot};
+pub use view::{DutyShown, NodeRow, RackRow, Snapshot};
 
 /// What is due at some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -93,6 +95,8 @@
     playing: BTreeMap<String, SessionId>,
     /// The session whose event stream is open or being opened.
     subscribed: Option<String>,
+    /// When it was last seen how full it is.
+    read: Option<Time>,
 }
 
 /// The state machine of one front.
@@ -172,9 +176,11 @@
                 }
             }
             Input::Nodes(nodes) => self.list(nodes),
-            Input::News(node, news) => self.news(node, news, out),
+            Input::News(node, news) => self.news(now, node, news, out),
             Input::StreamEnded(node, how) => self.stream_ended(node, how, out),
             Input::Peak(peak) => self.take_peak(now, peak),
+            Input::Probed(node, load) => self.probed(now, node, load),
+            Input::Seen(node, life, age, load) => self.seen(now, node, life, age, &load),
         }
         self.run(now, out);
     }
@@ -241,6 +247,11 @@
         }
     }
 
+    /// The nodes of the list.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values().map(|n| &n.node)
+    }
+
     /// A node's address and name.
     #[must_use]
     pub fn node(&self, id: ServerId) -> Option<&Node> {
@@ -444,6 +455,7 @@
         self.attempts.insert(attempt, Attempt { node, viewer: live.ask.viewer, closing: None });
         self.timers.push(Reverse((now.saturating_add(wait), Wake::AttemptTime(attempt))));
         self.tally.attempts += 1;
+        self.note_age(now, node);
         out.push(Effect::SetUp { attempt, node, title, publish, offer });
     }
 
@@ -473,6 +485,7 @@
             return;
         };
         let closing = attempt.closing;
+        self.note_read(now, node, &end);
         if closing.is_some() {
             let mut load = LoadReport::default();
             if let AttemptEnd::Created(created) = end {
@@ -651,7 +664,7 @@
             match self.nodes.get_mut(&id) {
                 Some(state) => state.node = node,
                 None => {
-                    let state = NodeState { node, playing: BTreeMap::new(), subscribed: None };
+                    let state = NodeState { node, playing: BTreeMap::new(), subscribed: None, read: None };
                     self.nodes.insert(id, state);
                 }
             }
@@ -673,7 +686,11 @@
         }
     }
 
-    fn news(&mut self, node: ServerId, news: NodeNews, out: &mut Vec<Effect>) {
+    fn news(&mut self, now: Time, node: ServerId, news: NodeNews, out: &mut Vec<Effect>) {
+        if matches!(news, NodeNews::Link(_)) {
+            // Such news is as late as the settings say.
+            self.read_at(node, now.saturating_sub(self.config.decisions.seen_after));
+        }
         let Some(state) = self.nodes.get(&node) else { return };
         let (kind, value) = match news {
             NodeNews::Inactive(path) => {
@@ -747,8 +764,9 @@
                 self.timers.push(Reverse((now.saturating_add(after), Wake::Module(token))));
             }
             Action::Log(line) => out.push(Effect::Log(line)),
-            // Settings of the product allow neither probes nor lists on request.
-            Action::Probe(_) | Action::WatchList => {}
+            Action::Probe(node) => out.push(Effect::Probe(node)),
+            // Settings of the product do not allow lists on request.
+            Action::WatchList => {}
         }
     }
 
--- a/crates/front/src/engine/tally.rs
+++ b/crates/front/src/engine/tally.rs
@@ -31,9 +31,27 @@
     pub failures: BTreeMap<&'static str, u64>,
     /// Sessions ended by outcome.
     pub ends: BTreeMap<&'static str, u64>,
+    /// Set-ups sent to a node of which nothing had been seen.
+    pub blind: u64,
+    ages_ms: Histogram<u64>,
     classes: Vec<PerClass>,
 }
 
+/// How old readings were when sessions were placed by them.
+#[derive(Clone, Debug, Serialize)]
+pub struct AgeRow {
+    /// Set-ups by a reading.
+    pub placed: u64,
+    /// Set-ups to a node of which nothing had been seen.
+    pub blind: u64,
+    /// Half of the readings were younger, milliseconds.
+    pub p50_ms: u64,
+    /// 9 in 10 were younger.
+    pub p90_ms: u64,
+    /// 99 in 100 were younger.
+    pub p99_ms: u64,
+}
+
 /// Set-ups of one class.
 #[derive(Clone, Debug)]
 struct PerClass {
@@ -74,13 +92,11 @@
     /// Nothing done yet, for classes of these names.
     #[must_use]
     pub fn new(classes: Vec<String>) -> Self {
-        let per = |name| PerClass {
-            name,
-            within_aim: 0,
-            // Three digits up to an hour; the bounds are constants, so that this cannot fail.
-            times_us: Histogram::new_with_max(3_600_000_000, 3)
-                .unwrap_or_else(|_| Histogram::new(1).expect("digits")),
+        // Three digits up to an hour; the bounds are constants, so that this cannot fail.
+        let histogram = || {
+            Histogram::new_with_max(3_600_000_000, 3).unwrap_or_else(|_| Histogram::new(1).expect("digits"))
         };
+        let per = |name| PerClass { name, within_aim: 0, times_us: histogram() };
         Self {
             asked: 0,
             left: 0,
@@ -93,6 +109,8 @@
             answers: BTreeMap::new(),
             failures: BTreeMap::new(),
             ends: BTreeMap::new(),
+            blind: 0,
+            ages_ms: histogram(),
             classes: classes.into_iter().map(per).collect(),
         }
     }
@@ -126,6 +144,22 @@
         }
     }
 
+    /// A set-up goes to a node that was seen so long ago, or never.
+    pub(super) fn placed(&mut self, age: Option<Time>) {
+        match age {
+            Some(age) => self.ages_ms.saturating_record(age / 1_000_000),
+            None => self.blind += 1,
+        }
+    }
+
+    /// Ages of readings.
+    #[must_use]
+    pub fn ages(&self) -> AgeRow {
+        let at = |q| self.ages_ms.value_at_quantile(q);
+        let (p50_ms, p90_ms, p99_ms) = (at(0.5), at(0.9), at(0.99));
+        AgeRow { placed: self.ages_ms.len(), blind: self.blind, p50_ms, p90_ms, p99_ms }
+    }
+
     /// Set-up times by class.
     #[must_use]
     pub fn classes(&self) -> Vec<ClassRow> {
--- a/crates/front/src/engine/types.rs
+++ b/crates/front/src/engine/types.rs
@@ -110,6 +110,10 @@
     Nodes(Vec<Node>),
     /// News of a node.
     News(ServerId, NodeNews),
+    /// A node that was asked for its load answered, or did not.
+    Probed(ServerId, Option<LoadReport>),
+    /// What another front saw of this life of a node so long ago.
+    Seen(ServerId, u64, Time, LoadReport),
     /// A peak was announced, amended or called off, here or at another front.
     Peak(Peak),
     /// The event stream of a node ended, or could not be had: no connection, or this status.
@@ -196,6 +200,8 @@
     ResetAttempt(AttemptId),
     /// DELETE a session at its node.
     DeleteUpstream(ServerId, String),
+    /// The module wants a node's load.
+    Probe(ServerId),
     /// Choose the rung of a session at its node.
     SetLayer(ServerId, String, u8),
     /// Open the node's event stream on one of its sessions.
--- a/crates/front/src/engine/view.rs
+++ b/crates/front/src/engine/view.rs
@@ -1,9 +1,11 @@
 //! What the console shows, as plain data.
 
 use super::Engine;
-use super::tally::ClassRow;
+use super::tally::{AgeRow, ClassRow};
 use pepperhook::{ServerState, Time};
+use pepperhook_duties::{Counters as DutyCounters, DutyRow};
 use pepperhook_exchange::Counters;
+use pepperhook_fleet::MemberRow;
 use pepperhook_peaks::HoldRow;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -51,8 +53,28 @@
     pub nodes: Vec<NodeRow>,
     /// Announced peaks and what is held for them.
     pub holds: Vec<HoldRow>,
+    /// How old readings were when sessions were placed by them.
+    pub ages: AgeRow,
     /// What the exchange sent, took and threw away.
     pub exchange: Option<Counters>,
+    /// The fronts that are there by this one's view.
+    pub members: Vec<MemberRow>,
+    /// Duties, who has them and why.
+    pub duties: Vec<DutyShown>,
+    /// What became of duties here.
+    pub duty_counters: Option<DutyCounters>,
+    /// What is added to this front's clock to get the fleet's, milliseconds.
+    pub clock_offset_ms: i64,
+}
+
+/// A duty with its target's name.
+#[derive(Clone, Debug, Serialize)]
+pub struct DutyShown {
+    /// The node.
+    pub node: String,
+    /// The duty.
+    #[serde(flatten)]
+    pub row: DutyRow,
 }
 
 /// A rack.
@@ -150,7 +172,12 @@
                 .collect(),
             nodes,
             holds: self.hold_rows(now),
+            ages: t.ages(),
             exchange: None,
+            members: Vec::new(),
+            duties: Vec::new(),
+            duty_counters: None,
+            clock_offset_ms: 0,
         }
     }
 }
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -144,7 +144,7 @@
     /// What the console shows.
     pub fn snapshot(&self) -> Snapshot {
         let mut s = self.engine.borrow().snapshot(self.clock.now());
-        s.exchange = Some(self.spread.counters());
+        self.spread.show(self.clock.now() / 1_000_000, &mut s);
         s
     }
 
@@ -177,6 +177,7 @@
                         self.errand(async move { shell.upstream.delete(address, &path).await });
                     }
                 }
+                Effect::Probe(node) => spread::ask(self, node),
                 Effect::SetLayer(node, path, rung) => self.set_layer(node, path, rung),
                 Effect::Subscribe(node, path) => self.follow(node, path),
                 Effect::Tell(resource, event, data) => {
@@ -195,7 +196,7 @@
         self.idle.notify_one();
     }
 
-    fn address(&self, node: ServerId) -> Option<SocketAddr> {
+    pub(crate) fn address(&self, node: ServerId) -> Option<SocketAddr> {
         self.engine.borrow().node(node).map(|n| n.address)
     }
 
@@ -321,6 +322,7 @@
                 Look::New(nodes) => {
                     info!(event = "inventory-taken", nodes = nodes.len(), "a new list of nodes is in force");
                     self.drive(Input::Nodes(nodes));
+                    spread::list(&self);
                 }
                 Look::Bad(faults) => {
                     for fault in faults.iter().take(10) {
@@ -387,6 +389,7 @@
         });
         shell.drive(Input::Nodes(nodes));
         spread::recall(&shell);
+        spread::list(&shell);
         let (close, closed) = watch::channel(false);
         let mut tasks = vec![
             spawn_local(shell.clone().timers()),
@@ -429,6 +432,7 @@
         let shell = &self.shell;
         info!(event = "stopping", waiting = shell.snapshot().waiting, "no new requests are taken");
         shell.engine.borrow_mut().stop();
+        spread::leave(shell);
         let longest = shell.config.classes.iter().map(|c| c.patience).max().unwrap_or(0);
         let idle = async {
             while !shell.engine.borrow().is_idle() {
--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -1,18 +1,27 @@
-//! Announced peaks between fronts and over restarts: the exchange on a UDP socket, and its store.
+//! This front among the others, on a UDP socket: announced peaks, who is there, and duties that are shared. It
+//! carries out what [`Fleet`] says; it decides nothing.
 
 use crate::engine::types::Input;
+use crate::engine::{DutyShown, Snapshot, life};
 use crate::shell::Shell;
-use pepperhook_exchange::{Counters, Exchange, Id, Keys, Merge, Out, Record, Settings, Store};
+use pepperhook::{ServerId, ServerState};
+use pepperhook_duties::{Duty, Kind, Target, TargetState};
+use pepperhook_exchange::{Id, Keys, Merge, Record, Store};
+use pepperhook_fleet::{Fleet, Note, Out, READS, Settings, View};
+use pepperhook_membership::Change;
 use pepperhook_peaks::{Announcement, Refused};
 use pepperhook_settings::{Config, name_hash};
+use pepperhook_signalling::LoadReport;
 use rand::Rng;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::task::{JoinHandle, spawn_local};
 use tracing::{info, warn};
 
 /// Space of announced peaks.
@@ -20,9 +29,16 @@
 /// A record outlasts its peak by this, so that a front whose clock is behind still finds it; milliseconds.
 const OUTLAST_MS: u64 = 30_000;
 
-/// The exchange, its store and its socket.
+/// What is told of a node's load, in this order; NaN for what its report lacks.
+const TOLD: [&str; 3] = ["streams", "link", "uplink"];
+/// Time between two calls of the fleet's part.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The fleet's part, its store and its socket.
 pub struct Spread {
-    exchange: RefCell<Exchange>,
+    fleet: RefCell<Fleet>,
+    /// Duties that are being done here.
+    running: RefCell<HashMap<(Duty, u64), JoinHandle<()>>>,
     store: Option<Arc<Store>>,
     socket: Option<Arc<UdpSocket>>,
     loss: f64,
@@ -63,8 +79,10 @@
             Some(x) => Some(Arc::new(UdpSocket::bind(x.listen).await?)),
             None => None,
         };
-        let settings = Settings {
-            me: name_hash(&config.name),
+        let me = name_hash(&config.name);
+        let fronts = config.decisions.fronts;
+        let exchange = pepperhook_exchange::Settings {
+            me,
             run,
             keys: x.map_or(Keys::new("", None), |x| Keys::new(&x.key, x.previous_key.as_deref())),
             peers: x.map_or(Vec::new(), |x| x.peers.clone()),
@@ -72,27 +90,64 @@
             fanout: x.map_or(1, |x| x.fanout),
             seed: rand::random(),
         };
-        let exchange = RefCell::new(Exchange::new(settings, kept, now_ms));
+        let address = socket.as_ref().map(|s| s.local_addr()).transpose()?;
+        let view = x.zip(address).map(|(x, address)| View {
+            address,
+            weight: x.weight,
+            fronts,
+            period_ms: x.look / 1_000_000,
+            suspicion_ms: x.suspicion / 1_000_000,
+        });
+        let duties = x.zip(config.duties.as_ref()).map(|(x, d)| pepperhook_duties::Settings {
+            me,
+            weight: x.weight,
+            fronts,
+            wait_ms: 2 * x.look / 1_000_000,
+            kinds: vec![Kind {
+                name: "probe".into(),
+                period_ms: d.probe / 1_000_000,
+                step_ms: d.step / 1_000_000,
+                limit_ms: d.limit / 1_000_000,
+                most: d.most,
+                draining: false,
+            }],
+        });
+        let fleet = RefCell::new(Fleet::new(Settings { exchange, view, duties }, kept, now_ms));
         let loss = x.map_or(0.0, |x| x.loss);
-        Ok((Self { exchange, store, socket: socket.clone(), loss, warned: Cell::new(0) }, socket))
+        let (running, warned) = (RefCell::default(), Cell::new(0));
+        Ok((Self { fleet, running, store, socket: socket.clone(), loss, warned }, socket))
     }
 
-    /// What was sent, taken and thrown away.
-    pub fn counters(&self) -> Counters {
-        self.exchange.borrow().counters().clone()
+    /// Shows this front's part in the fleet.
+    pub fn show(&self, now_ms: u64, on: &mut Snapshot) {
+        let fleet = self.fleet.borrow();
+        on.exchange = Some(fleet.counters().clone());
+        on.members = fleet.member_rows();
+        on.duty_counters = fleet.duty_counters().cloned();
+        on.clock_offset_ms = fleet.offset_ms();
+        let names: HashMap<u64, &str> = on
+            .nodes
+            .iter()
+            .map(|n| (u64::from(pepperhook_inventory::node_id(&n.name).0), n.name.as_str()))
+            .collect();
+        let shown = |row: pepperhook_duties::DutyRow| DutyShown {
+            node: names.get(&row.target).map_or_else(String::new, |n| (*n).to_owned()),
+            row,
+        };
+        on.duties = fleet.duty_rows(now_ms).into_iter().map(shown).collect();
     }
 
     /// Announcements that are known, calls-off included.
     pub fn announcements(&self) -> Vec<Announcement> {
-        let exchange = self.exchange.borrow();
-        let peaks = exchange.records().iter().filter(|r| r.id.space == PEAKS);
+        let fleet = self.fleet.borrow();
+        let peaks = fleet.records().iter().filter(|r| r.id.space == PEAKS);
         peaks.filter_map(|r| serde_json::from_slice(&r.body).ok()).collect()
     }
 
     /// The last version of a peak.
     pub fn announcement(&self, name: &str) -> Option<Announcement> {
-        let exchange = self.exchange.borrow();
-        exchange.records().get(&id(name)).and_then(|r| serde_json::from_slice(&r.body).ok())
+        let fleet = self.fleet.borrow();
+        fleet.records().get(&id(name)).and_then(|r| serde_json::from_slice(&r.body).ok())
     }
 
     fn send(&self, to: SocketAddr, datagram: &[u8]) {
@@ -110,7 +165,7 @@
 
 /// Takes what the store kept back into force.
 pub fn recall(shell: &Rc<Shell>) {
-    let kept: Vec<Record> = shell.spread.exchange.borrow().records().iter().cloned().collect();
+    let kept: Vec<Record> = shell.spread.fleet.borrow().records().iter().cloned().collect();
     for record in kept {
         heard(shell, &record);
     }
@@ -166,7 +221,7 @@
     let (now_ms, id) = (shell.clock.now() / 1_000_000, id(&said.name));
     let mut out = Vec::new();
     let merge =
-        spread.exchange.borrow_mut().put(now_ms, id, said.end_ms.saturating_add(OUTLAST_MS), body, &mut out);
+        spread.fleet.borrow_mut().put(now_ms, id, said.end_ms.saturating_add(OUTLAST_MS), body, &mut out);
     if merge != Merge::Taken {
         return Err(NotTaken::Store("there is no room for more records".into()));
     }
@@ -191,44 +246,150 @@
     kept.map_err(|e| e.to_string())?
 }
 
-/// Runs the exchange on its socket.
+/// Runs the fleet's part on its socket.
 pub async fn run(shell: Rc<Shell>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; 2_048];
-    let mut ticks = tokio::time::interval(Duration::from_millis(50));
+    let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let mut out = Vec::new();
         tokio::select! {
-            _ = ticks.tick() => {
-                let now_ms = shell.clock.now() / 1_000_000;
-                shell.spread.exchange.borrow_mut().tick(now_ms, &mut out);
-            }
             got = socket.recv_from(&mut buffer) => {
                 // A port of a peer that is down answers by an error on the next call.
                 let Ok((n, from)) = got else { continue };
-                let now_ms = shell.clock.now() / 1_000_000;
-                let taken = shell.spread.exchange.borrow_mut().receive(now_ms, from, &buffer[..n], &mut out);
-                if let Err(why) = taken {
+                let rejected = with(&shell, |fleet, now_ms, out| fleet.receive(now_ms, from, &buffer[..n], out));
+                if let Err(why) = rejected {
                     let warned = shell.spread.warned.replace(shell.spread.warned.get() + 1);
                     if warned % 1_000 == 0 {
                         warn!(event = "datagram-rejected", why = ?why, "a datagram was thrown away");
                     }
                 }
             }
+            _ = ticks.tick() => with(&shell, |fleet, now_ms, out| fleet.tick(now_ms, out)),
         }
-        for o in out {
-            match o {
-                Out::Send(to, datagram) => shell.spread.send(to, &datagram),
-                Out::Changed(record) => {
-                    heard(&shell, &record);
-                    let store = shell.spread.store.clone();
-                    tokio::task::spawn_local(async move {
-                        if let Err(e) = keep(store, record).await {
-                            warn!(event = "record-not-kept", e, "a restart would not know of it");
-                        }
-                    });
+    }
+}
+
+/// Calls the fleet's part and carries out what it says.
+fn with<R>(shell: &Rc<Shell>, call: impl FnOnce(&mut Fleet, u64, &mut Vec<Out>) -> R) -> R {
+    let mut out = Vec::new();
+    let r = call(&mut shell.spread.fleet.borrow_mut(), shell.clock.now() / 1_000_000, &mut out);
+    for o in out {
+        match o {
+            Out::Send(to, datagram) => shell.spread.send(to, &datagram),
+            Out::Changed(record) => {
+                heard(shell, &record);
+                let store = shell.spread.store.clone();
+                spawn_local(async move {
+                    if let Err(e) = keep(store, record).await {
+                        warn!(event = "record-not-kept", e, "a restart would not know of it");
+                    }
+                });
+            }
+            Out::Run(duty, round, limit_ms) => probe(shell, duty, round, Duration::from_millis(limit_ms)),
+            Out::Cancel(duty, round) => {
+                if let Some(task) = shell.spread.running.borrow_mut().remove(&(duty, round)) {
+                    task.abort();
                 }
             }
+            Out::Seen(reading, age_ms) => {
+                if shell.config.duties.as_ref().is_some_and(|d| d.share) {
+                    let load = load(&reading.values);
+                    let input = Input::Seen(server(reading.node), reading.life, age_ms * 1_000_000, load);
+                    shell.drive(input);
+                }
+            }
+            Out::Note(note) => log(&note),
+        }
+    }
+    r
+}
+
+fn log(note: &Note) {
+    match note {
+        Note::View(Change::Up(m)) => {
+            info!(event = "member-up", front = m.front, address = %m.address, run = m.run, "a front is there");
+        }
+        Note::View(Change::Down(m)) => {
+            info!(event = "member-down", front = m.front, address = %m.address, run = m.run, "a front is gone");
+        }
+        Note::View(Change::Rejoined(m)) => {
+            warn!(event = "member-rejoined", renewed = m.renewed, "the others had given this front up");
+        }
+        Note::Run(run) => {
+            warn!(
+                event = "run-raised",
+                run,
+                "the others know a later run of this front: its clock went back, or another has its name"
+            );
         }
     }
 }
+
+fn server(node: u64) -> ServerId {
+    ServerId(u32::try_from(node).unwrap_or(u32::MAX))
+}
+
+/// Values as they are told, and back.
+fn told(load: &LoadReport) -> Vec<f32> {
+    TOLD.iter().map(|name| load.get(name).unwrap_or(f64::NAN) as f32).collect()
+}
+
+fn load(values: &[f32]) -> LoadReport {
+    let named = TOLD.iter().zip(values).filter(|(_, v)| v.is_finite());
+    LoadReport(named.map(|(name, v)| ((*name).to_owned(), f64::from(*v))).collect())
+}
+
+/// Asks a node for its load, as a duty.
+fn probe(shell: &Rc<Shell>, duty: Duty, round: u64, limit: Duration) {
+    let node = server(duty.target);
+    let (address, of) = shell.engine(|e, _| (e.node(node).map(|n| n.address), e.node(node).map(life)));
+    let task = {
+        let shell = shell.clone();
+        spawn_local(async move {
+            let path = shell.config.duties.as_ref().map_or("/", |d| d.path.as_str());
+            let read = match address {
+                Some(address) => shell.upstream().probe(address, path, limit).await,
+                None => None,
+            };
+            shell.spread.running.borrow_mut().remove(&(duty, round));
+            let reading = of
+                .zip(read.as_ref().map(told))
+                .filter(|_| shell.config.duties.as_ref().is_some_and(|d| d.share));
+            let done = read.is_some();
+            shell.drive(Input::Probed(node, read));
+            with(&shell, |fleet, now_ms, out| fleet.finished(now_ms, duty, round, done, reading, out));
+        })
+    };
+    shell.spread.running.borrow_mut().insert((duty, round), task);
+}
+
+/// The module wants a node's load. Where the bound on what a node hears does not allow to ask for it, what is known
+/// has to do, though it be nothing.
+pub fn ask(shell: &Rc<Shell>, node: ServerId) {
+    let shell = shell.clone();
+    spawn_local(async move {
+        let duty = Duty { kind: READS, target: u64::from(node.0) };
+        if !with(&shell, |fleet, now_ms, out| fleet.ask(now_ms, duty, out)) {
+            shell.drive(Input::Probed(node, Some(LoadReport::default())));
+        }
+    });
+}
+
+/// Duties are done on the nodes of the list.
+pub fn list(shell: &Rc<Shell>) {
+    let target = |n: &pepperhook_inventory::Node| {
+        let state = match n.entry.state {
+            ServerState::Ready => TargetState::Ready,
+            ServerState::Draining => TargetState::Draining,
+            ServerState::Gone => return None,
+        };
+        Some(Target { id: u64::from(n.entry.server.0), state, life: life(n) })
+    };
+    let targets: Vec<Target> = shell.engine(|e, _| e.nodes().filter_map(target).collect());
+    with(shell, |fleet, now_ms, out| fleet.set_targets(now_ms, READS, &targets, out));
+}
+
+/// This front goes: the others are told, and take its duties over at once.
+pub fn leave(shell: &Rc<Shell>) {
+    with(shell, |fleet, now_ms, out| fleet.leave(now_ms, out));
+}
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -326,6 +326,20 @@
         Ok((status, self.body(node, reply, &hold).await?))
     }
 
+    /// Asks a node for its load: OPTIONS on an endpoint, which every node answers and which changes nothing (RFC
+    /// 9725, 4.2); the load report comes as with any answer. `None` where none came within the time.
+    pub async fn probe(&self, node: SocketAddr, path: &str, time: Duration) -> Option<LoadReport> {
+        let request = self.build(node, Method::OPTIONS, path, SDP_TYPE, Bytes::new())?;
+        let hold = Hold::default();
+        let whole = async {
+            let reply = self.send(node, request, &hold).await.ok()?;
+            let load = text(&reply.response, ORCA_HEADER).map(LoadReport::parse);
+            self.body(node, reply, &hold).await.ok()?;
+            load
+        };
+        timeout(time, whole).await.ok().flatten()
+    }
+
     /// Chooses the rung of a session by the layer extension; false if the node did not take it.
     pub async fn set_layer(&self, node: SocketAddr, path: &str, rung: u8) -> bool {
         let body = format!("{{\"mediaId\":\"1\",\"encodingId\":\"{rung}\"}}");
--- a/crates/playout/src/face.rs
+++ b/crates/playout/src/face.rs
@@ -290,6 +290,7 @@
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (parts.as_slice(), request.method()) {
+        (_, &Method::OPTIONS) => options(&node, &request).await,
         ([kind @ ("whep" | "whip"), title], &Method::POST) => {
             set_up(&node, *kind == "whip", title, request, last, dead).await
         }
@@ -316,6 +317,28 @@
     }
 }
 
+/// The name of the front in a request's `Via`: `1.1 front (run ...)`.
+fn front(run: &str) -> String {
+    run.split(' ').nth(1).unwrap_or("").to_owned()
+}
+
+/// OPTIONS tells what an endpoint takes, and by its load report how full the node is.
+async fn options(node: &Shared, request: &Request<Incoming>) -> Result<Response<Out>, Failure> {
+    let (faults, fell) = {
+        let n = node.borrow();
+        n.recorder.write(What::Probe { front: front(given(request, &VIA)) });
+        (n.faults, n.fell)
+    };
+    if fell || faults.hang >= 1.0 {
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    let mut r = plain(204, "");
+    header(&mut r, hyper::header::HeaderName::from_static("accept-post"), SDP_TYPE);
+    report(node, &mut r);
+    Ok(r)
+}
+
 /// Tells what becomes of an attempt, also where its future is dropped because the connection closed.
 struct Account {
     recorder: Recorder,
@@ -348,7 +371,7 @@
 ) -> Result<Response<Out>, Failure> {
     // `1.1 front (run ...)`: the record names the front, the lease is this run's.
     let run = given(&request, &VIA).to_owned();
-    let front = run.split(' ').nth(1).unwrap_or("").to_owned();
+    let front = front(&run);
     let is_sdp = given(&request, &CONTENT_TYPE).starts_with(SDP_TYPE);
     let body = Limited::new(request.into_body(), 64 << 10).collect().await?.to_bytes();
     let way = if publish { Direction::Send } else { Direction::Receive };
--- a/crates/playout/src/record.rs
+++ b/crates/playout/src/record.rs
@@ -29,6 +29,8 @@
     NodeStart { streams: f64, cold_share: f64, cold_s: f64 },
     /// A node read the head and body of a set-up. `origin` is the `o=` line of the offer.
     Attempt { attempt: u64, front: String, origin: String, title: String },
+    /// A front asked for the node's load.
+    Probe { front: String },
     /// It handed its answer to the socket.
     Answered { attempt: u64, status: u16 },
     /// The connection was closed or reset before that.
--- a/crates/rehearse/src/conduct/fleet.rs
+++ b/crates/rehearse/src/conduct/fleet.rs
@@ -372,6 +372,11 @@
                 out += &format!("peer {}\n", fronts[j as usize].exchange);
             }
         }
+        if let Some(d) = &f.duties {
+            let word = |yes| if yes { "yes" } else { "no" };
+            let (share, ask) = (word(d.share), word(d.ask));
+            out += &format!("section duties\nprobe {}ms\nshare {share}\nask {ask}\n", d.period_s * 1e3);
+        }
         out += "section prices\nmoved 0.05\ncross-zone 0.04\nover-share-worth 0.2\n";
         for (t, share) in f.tenants.iter().enumerate() {
             out += &format!("section tenant tenant-{t}\nquota {}\n", share * v.rate * 1.2);
@@ -471,6 +476,20 @@
         }
     }
 
+    /// What each front that runs shows on its console.
+    pub async fn states(&self) -> Vec<serde_json::Value> {
+        let key = [("authorization", "Bearer rehearsal")];
+        let admins: Vec<SocketAddr> =
+            self.fronts.borrow().iter().filter_map(|f| f.address.and(f.admin)).collect();
+        let mut out = Vec::new();
+        for admin in admins {
+            let Ok(mut c) = Connection::open(admin).await else { continue };
+            let reply = c.exchange("GET", "/state", &key, b"", Duration::from_secs(1)).await;
+            out.extend(reply.ok().and_then(|r| serde_json::from_slice(&r.body).ok()));
+        }
+        out
+    }
+
     /// Kills a front's process.
     pub async fn kill_front(&self, i: u32) {
         let (name, child) = {
--- a/crates/rehearse/src/conduct/mod.rs
+++ b/crates/rehearse/src/conduct/mod.rs
@@ -42,6 +42,8 @@
     pub breaches: Vec<Breach>,
     /// The whole record.
     pub lines: Vec<Line>,
+    /// What each front showed on its console at the end.
+    pub states: Vec<serde_json::Value>,
 }
 
 /// Grace of drains, seconds: the brief's.
@@ -105,6 +107,7 @@
     arrive(day, &audience, begin).await;
     sleep(TAIL + Duration::from_secs_f64(day.viewers.patience_s)).await;
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    let states = world.states().await;
     let stopped = world.stop().await;
     if let Some(fault) = world.failure() {
         return Err(fault);
@@ -116,7 +119,7 @@
         breaches.push(Breach { rule: crate::checker::Rule::OneAnswer, t: record::now(), what });
     }
     let report = sum_up(&day.name, day.seed, &lines, &breaches, day.viewers.aim_s);
-    Ok(Outcome { report, breaches, lines })
+    Ok(Outcome { report, breaches, lines, states })
 }
 
 /// What the checker is told of the day.
--- a/crates/rehearse/src/day.rs
+++ b/crates/rehearse/src/day.rs
@@ -61,6 +61,20 @@
     pub tenants: Vec<f64>,
     /// Fronts exchange records; else they know nothing of each other.
     pub exchange: Option<Between>,
+    /// Duties that the fronts share; they need an exchange.
+    pub duties: Option<Shared>,
+}
+
+/// Duties that fronts share.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shared {
+    /// Each node is asked once in this time, seconds.
+    pub period_s: f64,
+    /// What was read is told to the other fronts.
+    pub share: bool,
+    /// Fronts ask by themselves before they place a session.
+    pub ask: bool,
 }
 
 /// What lies between the fronts.
@@ -92,6 +106,7 @@
             budget: None,
             tenants: Vec::new(),
             exchange: None,
+            duties: None,
         }
     }
 }
@@ -323,6 +338,11 @@
             ("viewers.plays_s.0", self.viewers.plays_s.0, 0.1, self.viewers.plays_s.1),
             ("viewers.plays_s.1", self.viewers.plays_s.1, 0.1, 300.0),
         ];
+        if f.duties.is_some_and(|d| !(0.2..=60.0).contains(&d.period_s))
+            || f.duties.is_some() && f.exchange.is_none()
+        {
+            return Err("fleet.duties needs a period_s of 0.2 to 60, and fleet.exchange".into());
+        }
         for (name, value, low, high) in within {
             if !(low..=high).contains(&value) {
                 return Err(format!("{name} is {value}; {low} to {high} is allowed"));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -114,6 +114,31 @@
     pub fanout: usize,
     /// Part of the datagrams that is lost on purpose, for rehearsals.
     pub loss: f64,
+    /// This front's weight in shared work; 100 is one share.
+    pub weight: u16,
+    /// Time between two looks at another front.
+    pub look: Time,
+    /// A front that does not answer is given up after this time.
+    pub suspicion: Time,
+}
+
+/// Duties that the fronts share. Only where there is an exchange.
+#[derive(Clone, Debug)]
+pub struct DutySettings {
+    /// Each node is asked for its load once in this time, by one of the fronts.
+    pub probe: Time,
+    /// Who stands by asks so much later than the one before.
+    pub step: Time,
+    /// A node has so long to answer.
+    pub limit: Time,
+    /// Times a period that a node may hear it from all fronts together.
+    pub most: u32,
+    /// What is asked for, by OPTIONS.
+    pub path: String,
+    /// What was read is told to the other fronts, and theirs is heard.
+    pub share: bool,
+    /// The decision module may ask for a reading of its own, within the same bound.
+    pub ask: bool,
 }
 
 impl std::fmt::Debug for ExchangeSettings {
@@ -173,6 +198,8 @@
     pub tokens: Vec<Token>,
     /// The exchange with other fronts, where there is one.
     pub exchange: Option<ExchangeSettings>,
+    /// Duties that the fronts share, where there are any.
+    pub duties: Option<DutySettings>,
     /// Bounds on announced peaks.
     pub holds: HoldSettings,
     /// Names that the list of nodes may use.
@@ -335,6 +362,32 @@
         period: f.time("period").unwrap_or(SECOND).max(50 * MS),
         fanout: f.parsed("fanout", "whole number").unwrap_or(2).clamp(1, 16),
         loss: f.number("loss").unwrap_or(0.0).min(1.0),
+        weight: f.parsed("weight", "whole number, 100 for one share").unwrap_or(100).clamp(1, 10_000),
+        look: f.time("look").unwrap_or(SECOND).max(100 * MS),
+        suspicion: f.time("suspicion").unwrap_or(3 * SECOND).max(200 * MS),
+    };
+    faults.extend(f.end());
+    settings
+}
+
+fn duties(block: &Block, faults: &mut Vec<Fault>) -> DutySettings {
+    let mut f = Fields::new(block);
+    let probe = f.time("probe");
+    let probe = f.need("probe", probe).max(100 * MS);
+    let path = f.word("path").map(|w| (w.place, w.text.clone()));
+    if let Some((place, text)) = &path {
+        if !text.starts_with('/') || !text.bytes().all(|b| b.is_ascii_graphic()) {
+            f.fault(*place, "expected: a path such as /whep");
+        }
+    }
+    let settings = DutySettings {
+        probe,
+        step: f.time("step").unwrap_or(probe / 4).clamp(10 * MS, probe / 2),
+        limit: f.time("limit").unwrap_or(probe / 2).max(10 * MS),
+        most: f.parsed("most", "whole number").unwrap_or(5).max(1),
+        path: path.map_or_else(|| "/whep".to_owned(), |(_, text)| text),
+        share: f.yes("share").unwrap_or(true),
+        ask: f.yes("ask").unwrap_or(false),
     };
     faults.extend(f.end());
     settings
@@ -357,8 +410,8 @@
 
 fn build(loader: Loader) -> Result<Config, Faults> {
     let Loader { source, blocks, mut faults } = loader;
-    const KINDS: [&str; 10] =
-        ["", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices", "exchange"];
+    const KINDS: [&str; 11] =
+        ["", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices", "exchange", "duties"];
     for block in blocks.iter().filter(|b| !KINDS.contains(&b.kind.as_str())) {
         let what = format!("unknown section '{}'; expected one of: {}", block.kind, KINDS[1..].join(", "));
         faults.push(Fault { place: block.place, what });
@@ -438,6 +491,12 @@
     }
 
     let exchange = blocks.iter().find(|b| b.kind == "exchange").map(|b| exchange(b, &mut faults));
+    let duty_block = blocks.iter().find(|b| b.kind == "duties");
+    let duties = duty_block.map(|b| duties(b, &mut faults));
+    if let Some(block) = duty_block.filter(|_| exchange.is_none()) {
+        let what = "duties are shared between fronts: they need a section exchange".into();
+        faults.push(Fault { place: block.place, what });
+    }
 
     let mut f = Fields::new(&blocks[0]);
     let zones: Vec<String> =
@@ -514,8 +573,8 @@
             seen_after: f.time("seen-after").unwrap_or(0),
             switch_cost_s: f.number("switch-cost").unwrap_or(0.0),
             gauges,
-            // The front has no probes: what it knows comes with answers and event streams.
-            probes: false,
+            // Else what it knows comes with answers, event streams and the duties' readings.
+            probes: duties.as_ref().is_some_and(|d| d.ask),
             advice,
             max_advice: f.time("max-advice").unwrap_or(SECOND),
             max_attempts: f.parsed("max-attempts", "whole number").unwrap_or(3),
@@ -524,6 +583,7 @@
             prices,
             rules,
         },
+        duties,
         classes,
         tenants,
         titles,
