--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -766,7 +766,7 @@
             Action::Log(line) => out.push(Effect::Log(line)),
             Action::Probe(node) => out.push(Effect::Probe(node)),
             // Settings of the product do not allow lists on request.
-            Action::WatchList | Action::Tell(..) => {}
+            Action::WatchList => {}
         }
     }
 
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -183,10 +183,6 @@
         Action::Fail(s) => out.record(67, instance).bytes(&s.0.to_be_bytes()),
         Action::Move(s) => out.record(78, instance).bytes(&s.0.to_be_bytes()),
         Action::Probe(server) => out.record(70, instance).bytes(&server.0.to_be_bytes()),
-        Action::Tell(peer, data) => {
-            let length = u16::try_from(data.len()).unwrap_or(u16::MAX);
-            out.record(72, instance).bytes(&peer.to_be_bytes()).bytes(&length.to_be_bytes()).bytes(&data)
-        }
         Action::WatchList => out.record(75, instance).bytes(&[1]),
         Action::SetTimer(after, token) => {
             out.record(69, instance).bytes(&after.to_be_bytes()).bytes(&token.to_be_bytes())
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -131,9 +131,6 @@
             Event::Started(id, server) => self.started(now, id, server),
             Event::Ended { session, server, outcome, settled, report } => {
                 self.report(now, now, server, &report);
-                if let Some(used) = report.first().copied() {
-                    self.spread(server, used, out);
-                }
                 self.symptom(now, session, server, outcome, out);
                 if settled {
                     self.forget(now, session);
@@ -149,8 +146,7 @@
                 self.relieve(now, server, out);
             }
             Event::Held(id, hold) => self.hold(id, hold),
-            Event::ListFailed => {}
-            Event::Message(_, bytes) => self.told(now, &bytes, out),
+            Event::ListFailed | Event::Message(..) => {}
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(token) => self.give_up(now, SessionId(token), out),
         }
@@ -380,10 +376,7 @@
                     self.resum(now, server);
                 }
             }
-            NoteKind::LinkUse => {
-                state.link = Some(Reading { used: value.min(10.0), at });
-                self.spread(server, value, out);
-            }
+            NoteKind::LinkUse => state.link = Some(Reading { used: value.min(10.0), at }),
             NoteKind::UplinkUse => {
                 self.racks[rack as usize].uplink = Some(Reading { used: value.min(10.0), at });
             }
@@ -392,29 +385,6 @@
         self.relieve(now, server, out);
     }
 
-    /// Tells some others, drawn anew each time, what was just read.
-    fn spread(&mut self, server: ServerId, used: f64, out: &mut Vec<Action>) {
-        if self.set.fronts < 2 || !used.is_finite() {
-            return;
-        }
-        let mut bytes = server.0.to_be_bytes().to_vec();
-        bytes.push((used.clamp(0.0, 2.5) * 100.0) as u8);
-        for _ in 0..1 {
-            let peer = (self.draw() * f64::from(self.set.fronts)) as u16;
-            out.push(Action::Tell(peer, bytes.clone()));
-        }
-    }
-
-    fn told(&mut self, now: Time, bytes: &[u8], out: &mut Vec<Action>) {
-        let Some((id, rest)) = bytes.split_first_chunk::<4>() else { return };
-        let Some(used) = rest.first().map(|b| f64::from(*b) / 100.0) else { return };
-        let id = ServerId(u32::from_be_bytes(*id));
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.link = Some(Reading { used, at: now });
-            self.relieve(now, id, out);
-        }
-    }
-
     /// Short delivery: every front sheds its own part on that server, whether link or uplink is short, since
     /// on a short uplink all servers of the rack tell so. Where the link's use does not explain it, the
     /// rack is at the mark.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -425,8 +425,6 @@
     Probe(ServerId),
     /// Subscribe to the list of servers.
     WatchList,
-    /// Send another front a message.
-    Tell(u16, Vec<u8>),
     /// Set a timer.
     SetTimer(Time, u64),
     /// A line for the log.
