--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -3,7 +3,7 @@
 use crate::Exit;
 use clap::Subcommand;
 use pepperhook_rehearse::conduct::play;
-use pepperhook_rehearse::day::{Day, bad_day};
+use pepperhook_rehearse::day::{Day, Shared, bad_day};
 use pepperhook_rehearse::duties::many::many;
 use pepperhook_rehearse::duties::net::Options;
 use pepperhook_rehearse::peak::Variation;
@@ -23,6 +23,9 @@
         /// Arrivals come for so many seconds, 10 to 60.
         #[arg(long, default_value_t = 45.0)]
         seconds: f64,
+        /// Duties that the fronts share.
+        #[arg(long, value_enum, default_value = "none")]
+        duties: SharedDuties,
         #[command(flatten)]
         out: Out,
     },
@@ -72,6 +75,32 @@
     },
 }
 
+/// What fronts do together on a day.
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum SharedDuties {
+    /// Nothing: each front knows what its own sessions tell it.
+    None,
+    /// Each node is asked by one front in turn, which keeps what it read to itself.
+    Own,
+    /// What was read is told to all.
+    Shared,
+    /// The same, and fronts ask by themselves before they place a session by an old reading.
+    Ask,
+}
+
+impl SharedDuties {
+    fn on(self, day: &mut Day) {
+        let (share, ask) = match self {
+            Self::None => return,
+            Self::Own => (false, false),
+            Self::Shared => (true, false),
+            Self::Ask => (true, true),
+        };
+        day.fleet.exchange.get_or_insert_default();
+        day.fleet.duties = Some(Shared { period_s: 1.0, share, ask });
+    }
+}
+
 /// Where results go.
 #[derive(clap::Args)]
 pub struct Out {
@@ -89,12 +118,14 @@
 /// Plays and prints.
 pub async fn rehearse(what: What) -> Exit {
     let (day, out) = match what {
-        What::BadDay { seed, fronts, seconds, out } => {
+        What::BadDay { seed, fronts, seconds, duties, out } => {
             if !(10.0..=60.0).contains(&seconds) {
                 eprintln!("pepperhook: --seconds is {seconds}; 10 to 60 is allowed");
                 return Exit::Usage;
             }
-            (Ok(bad_day(seed, fronts.max(1), seconds)), out)
+            let mut day = bad_day(seed, fronts.max(1), seconds);
+            duties.on(&mut day);
+            (Ok(day), out)
         }
         What::Peak { seed, fronts, loss, cut, out } => {
             if !(0.0..=1.0).contains(&loss) || cut.is_some_and(|c| c >= fronts) {
--- a/crates/rehearse/src/conduct/mod.rs
+++ b/crates/rehearse/src/conduct/mod.rs
@@ -118,7 +118,8 @@
         let what = format!("{front} did not stop in order: {how}");
         breaches.push(Breach { rule: crate::checker::Rule::OneAnswer, t: record::now(), what });
     }
-    let report = sum_up(&day.name, day.seed, &lines, &breaches, day.viewers.aim_s);
+    let mut report = sum_up(&day.name, day.seed, &lines, &breaches, day.viewers.aim_s);
+    report.ages_ms = crate::duties::run::ages(&states);
     Ok(Outcome { report, breaches, lines, states })
 }
 
--- a/crates/rehearse/src/report.rs
+++ b/crates/rehearse/src/report.rs
@@ -35,6 +35,12 @@
     pub viewers_served: f64,
     /// Rung changes at nodes, the first of each session not counted.
     pub rung_changes: u64,
+    /// Mean rung over the time that sessions played at nodes.
+    pub mean_rung: f64,
+    /// Times that a front asked a node for its load.
+    pub probes: u64,
+    /// Ages of readings at placement by front, where the fronts tell: median, 9 in 10, 99 in 100; milliseconds.
+    pub ages_ms: Vec<[u64; 3]>,
 }
 
 /// Sums a record up.
@@ -48,6 +54,13 @@
     let (mut viewers, mut served) = (BTreeSet::new(), BTreeSet::new());
     let mut lines: Vec<&Line> = lines.iter().collect();
     lines.sort_by_key(|l| l.t);
+    let (mut rungs, mut probes) = (BTreeMap::<&str, (u64, u8)>::new(), 0);
+    let (mut played_s, mut rung_s) = (0.0, 0.0);
+    let mut spell = |from: u64, to: u64, rung: u8| {
+        let s = to.saturating_sub(from) as f64 / 1e9;
+        played_s += s;
+        rung_s += s * f64::from(rung);
+    };
     for line in lines {
         let mut count = |kind: &str| *answers.entry(kind.to_owned()).or_default() += 1;
         match &line.what {
@@ -73,8 +86,22 @@
             What::Broke { .. } => count("broke"),
             What::GaveUp { .. } => count("gave-up"),
             What::Hung { .. } => count("left"),
-            What::Attempt { .. } => attempts += 1,
-            What::Layer { origin, .. } => *layers.entry(origin).or_default() += 1,
+            What::Attempt { origin, .. } => {
+                attempts += 1;
+                rungs.insert(origin, (line.t, 0));
+            }
+            What::Layer { origin, rung } => {
+                *layers.entry(origin).or_default() += 1;
+                if let Some((since, was)) = rungs.insert(origin, (line.t, *rung)) {
+                    spell(since, line.t, was);
+                }
+            }
+            What::Ended { origin, .. } => {
+                if let Some((since, was)) = rungs.remove(origin.as_str()) {
+                    spell(since, line.t, was);
+                }
+            }
+            What::Probe { .. } => probes += 1,
             _ => {}
         }
     }
@@ -94,5 +121,8 @@
         viewers: viewers.len() as u64,
         viewers_served: share(served.len() as u64, viewers.len() as u64),
         rung_changes: layers.values().map(|n| n - 1).sum(),
+        mean_rung: rung_s / f64::max(played_s, 1.0),
+        probes,
+        ages_ms: Vec::new(),
     }
 }
