A second shared duty: nodes' lists of sessions, strays deleted and lost ones ended

One front in turn reads a node's list and tells all how many sessions each run of a front has there; whoever holds another number reads it for itself, twice, and acts on what both lists say while no attempt of its own is out there (engine/reconcile.rs). On sockets: a stray one deleted and a lost one ended within 4 s at a period of 200 ms, others untouched.

--- a/crates/cli/tests/duties.rs
+++ b/crates/cli/tests/duties.rs
@@ -180,3 +180,42 @@
     let text = Config::parse("test.conf", &wrong).expect_err("no time, no path").to_string();
     assert!(text.contains("soon") && text.contains("a path such as /whep"), "{text}");
 }
+
+#[test]
+fn sessions_that_only_one_side_holds_are_found_by_a_shared_duty() {
+    local(async {
+        let fleet = Fleet::new(2, "section duties\nprobe 1h\nsessions 200ms\nmost 9\n").await;
+        let front = fleet.fronts[0].as_ref().expect("front 0");
+        let connect = pepperhook_rehearse::wire::Connection::open;
+        for n in 0..6 {
+            let mut c = connect(front.address()).await.expect("connected");
+            post(&mut c, &format!("v{n}"), n).await;
+            assert_eq!(c.reply(tokio::time::Instant::now() + PATIENCE).await.expect("an answer").status, 201);
+        }
+        let held = |f: &Fleet| f.fronts.iter().flatten().map(|f| f.snapshot().playing).sum::<usize>();
+        let there = |f: &Fleet| f.stands.iter().map(|s| s.state().sessions).sum::<usize>();
+        assert_eq!((held(&fleet), there(&fleet)), (6, 6));
+        let stand = fleet.stands.iter().find(|s| s.state().sessions > 1).expect("six on four nodes");
+        let mut c = connect(stand.address).await.expect("connected");
+        let list = c.exchange("GET", "/sessions", &[], b"", PATIENCE).await.expect("a list");
+        let rows: serde_json::Value = serde_json::from_slice(&list.body).expect("JSON");
+        // Not the one that carries the event stream: its end would be seen there.
+        let last = rows.as_array().and_then(|r| r.last()).expect("rows");
+        let (path, via) = (last["path"].as_str().expect("a path"), last["via"].as_str().expect("a via"));
+        // A session that the front never heard of, as when its answer was lost on the way.
+        let headers = [SDP, ("via", via)];
+        let offer = pepperhook_rehearse::viewers::offer(99);
+        let reply =
+            c.exchange("POST", "/whep/t", &headers, offer.as_bytes(), PATIENCE).await.expect("an answer");
+        assert_eq!((reply.status, there(&fleet)), (201, 7));
+        until("the stray one is deleted", || there(&fleet) == 6 && front.snapshot().strays == 1).await;
+        assert_eq!(held(&fleet), 6, "and nothing else");
+        // And one that its node lost without a word.
+        let reply = c.exchange("DELETE", path, &[], b"", PATIENCE).await.expect("an answer");
+        assert_eq!(reply.status, 200);
+        until("the lost one is ended", || held(&fleet) == 5 && front.snapshot().missing == 1).await;
+        assert_eq!(there(&fleet), 5);
+        let lists = fleet.recorder.lines().iter().filter(|l| matches!(l.what, What::Listed { .. })).count();
+        assert!(lists > 0);
+    });
+}
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -245,8 +245,10 @@
             let steady = self.steady(now_ms);
             self.fleet_ms(steady)
         };
-        let there: BTreeSet<u64> = targets.iter().map(|t| t.id).collect();
-        self.readings.keep(|node| there.contains(&node));
+        if kind == READS {
+            let there: BTreeSet<u64> = targets.iter().map(|t| t.id).collect();
+            self.readings.keep(|node| there.contains(&node));
+        }
         let mut work = Vec::new();
         if let Some(d) = &mut self.duties {
             d.set_targets(fleet_ms, kind, targets, &mut work);
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 mod peaks;
 mod readings;
+mod reconcile;
 mod tally;
 pub mod types;
 mod view;
@@ -97,6 +98,8 @@
     subscribed: Option<String>,
     /// When it was last seen how full it is.
     read: Option<Time>,
+    /// Where its last list of sessions and this front differ.
+    odds: reconcile::Odds,
 }
 
 /// The state machine of one front.
@@ -179,6 +182,7 @@
             Input::News(node, news) => self.news(now, node, news, out),
             Input::StreamEnded(node, how) => self.stream_ended(node, how, out),
             Input::Peak(peak) => self.take_peak(now, peak),
+            Input::Sessions(node, listed) => self.reconcile(node, &listed, out),
             Input::Probed(node, load) => self.probed(now, node, load),
             Input::Seen(node, life, age, load) => self.seen(now, node, life, age, &load),
         }
@@ -664,7 +668,13 @@
             match self.nodes.get_mut(&id) {
                 Some(state) => state.node = node,
                 None => {
-                    let state = NodeState { node, playing: BTreeMap::new(), subscribed: None, read: None };
+                    let state = NodeState {
+                        node,
+                        playing: BTreeMap::new(),
+                        subscribed: None,
+                        read: None,
+                        odds: reconcile::Odds::default(),
+                    };
                     self.nodes.insert(id, state);
                 }
             }
--- a/crates/front/src/engine/tally.rs
+++ b/crates/front/src/engine/tally.rs
@@ -33,6 +33,10 @@
     pub ends: BTreeMap<&'static str, u64>,
     /// Set-ups sent to a node of which nothing had been seen.
     pub blind: u64,
+    /// Sessions found at nodes that nobody held any more, deleted there.
+    pub strays: u64,
+    /// Sessions held here that their nodes had not, ended.
+    pub missing: u64,
     ages_ms: Histogram<u64>,
     classes: Vec<PerClass>,
 }
@@ -110,6 +114,8 @@
             failures: BTreeMap::new(),
             ends: BTreeMap::new(),
             blind: 0,
+            strays: 0,
+            missing: 0,
             ages_ms: histogram(),
             classes: classes.into_iter().map(per).collect(),
         }
--- a/crates/front/src/engine/types.rs
+++ b/crates/front/src/engine/types.rs
@@ -114,6 +114,8 @@
     Probed(ServerId, Option<LoadReport>),
     /// What another front saw of this life of a node so long ago.
     Seen(ServerId, u64, Time, LoadReport),
+    /// Paths of the sessions that this run of the front has at a node, by the node's own list.
+    Sessions(ServerId, std::collections::BTreeSet<String>),
     /// A peak was announced, amended or called off, here or at another front.
     Peak(Peak),
     /// The event stream of a node ended, or could not be had: no connection, or this status.
--- a/crates/front/src/engine/view.rs
+++ b/crates/front/src/engine/view.rs
@@ -53,6 +53,10 @@
     pub nodes: Vec<NodeRow>,
     /// Announced peaks and what is held for them.
     pub holds: Vec<HoldRow>,
+    /// Sessions found at nodes that nobody held, deleted there.
+    pub strays: u64,
+    /// Sessions held here that their nodes had not, ended.
+    pub missing: u64,
     /// How old readings were when sessions were placed by them.
     pub ages: AgeRow,
     /// What the exchange sent, took and threw away.
@@ -172,6 +176,8 @@
                 .collect(),
             nodes,
             holds: self.hold_rows(now),
+            strays: t.strays,
+            missing: t.missing,
             ages: t.ages(),
             exchange: None,
             members: Vec::new(),
--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -10,11 +10,11 @@
 use pepperhook_fleet::{Fleet, Note, Out, READS, Settings, View};
 use pepperhook_membership::Change;
 use pepperhook_peaks::{Announcement, Refused};
-use pepperhook_settings::{Config, name_hash};
+use pepperhook_settings::{Config, DutySettings, name_hash};
 use pepperhook_signalling::LoadReport;
 use rand::Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,11 @@
 /// A record outlasts its peak by this, so that a front whose clock is behind still finds it; milliseconds.
 const OUTLAST_MS: u64 = 30_000;
 
+/// Kind of duty that reads a node's list of sessions, and the space of what is told of it.
+const SESSIONS: u8 = 1;
+const LISTS: u8 = pepperhook_exchange::SOFT + 1;
+/// Time between the two lists on which something is believed.
+const TWICE: Duration = Duration::from_millis(1_000);
 /// What is told of a node's load, in this order; NaN for what its report lacks.
 const TOLD: [&str; 3] = ["streams", "link", "uplink"];
 /// Time between two calls of the fleet's part.
@@ -37,6 +42,8 @@
 /// The fleet's part, its store and its socket.
 pub struct Spread {
     fleet: RefCell<Fleet>,
+    /// Nodes whose lists this front reads for itself.
+    checking: RefCell<HashSet<ServerId>>,
     /// Duties that are being done here.
     running: RefCell<HashMap<(Duty, u64), JoinHandle<()>>>,
     store: Option<Arc<Store>>,
@@ -103,19 +110,12 @@
             weight: x.weight,
             fronts,
             wait_ms: 2 * x.look / 1_000_000,
-            kinds: vec![Kind {
-                name: "probe".into(),
-                period_ms: d.probe / 1_000_000,
-                step_ms: d.step / 1_000_000,
-                limit_ms: d.limit / 1_000_000,
-                most: d.most,
-                draining: false,
-            }],
+            kinds: kinds(d),
         });
         let fleet = RefCell::new(Fleet::new(Settings { exchange, view, duties }, kept, now_ms));
         let loss = x.map_or(0.0, |x| x.loss);
-        let (running, warned) = (RefCell::default(), Cell::new(0));
-        Ok((Self { fleet, running, store, socket: socket.clone(), loss, warned }, socket))
+        let (running, checking, warned) = (RefCell::default(), RefCell::default(), Cell::new(0));
+        Ok((Self { fleet, running, checking, store, socket: socket.clone(), loss, warned }, socket))
     }
 
     /// Shows this front's part in the fleet.
@@ -159,6 +159,28 @@
     }
 }
 
+/// The kinds of duty, in the order of [`READS`] and [`SESSIONS`].
+fn kinds(d: &DutySettings) -> Vec<Kind> {
+    let ms = |t: u64| t / 1_000_000;
+    let reads = Kind {
+        name: "probe".into(),
+        period_ms: ms(d.probe),
+        step_ms: ms(d.step),
+        limit_ms: ms(d.limit),
+        most: d.most,
+        draining: false,
+    };
+    let lists = d.sessions.map(|period| Kind {
+        name: "sessions".into(),
+        period_ms: ms(period),
+        step_ms: ms(period / 4),
+        limit_ms: ms(period / 2),
+        most: d.most,
+        draining: true,
+    });
+    [reads].into_iter().chain(lists).collect()
+}
+
 fn id(name: &str) -> Id {
     Id { space: PEAKS, number: name_hash(name) }
 }
@@ -173,8 +195,10 @@
 
 /// Puts a record that came, or was kept, into force.
 fn heard(shell: &Rc<Shell>, record: &Record) {
-    if record.id.space != PEAKS {
-        return;
+    match record.id.space {
+        PEAKS => {}
+        LISTS => return listed(shell, server(record.id.number), &record.body),
+        _ => return,
     }
     let said: Result<Announcement, _> = serde_json::from_slice(&record.body);
     let peak = match &said {
@@ -278,6 +302,9 @@
             Out::Send(to, datagram) => shell.spread.send(to, &datagram),
             Out::Changed(record) => {
                 heard(shell, &record);
+                if record.id.is_soft() {
+                    continue;
+                }
                 let store = shell.spread.store.clone();
                 spawn_local(async move {
                     if let Err(e) = keep(store, record).await {
@@ -285,7 +312,13 @@
                     }
                 });
             }
-            Out::Run(duty, round, limit_ms) => probe(shell, duty, round, Duration::from_millis(limit_ms)),
+            Out::Run(duty, round, limit_ms) => {
+                let limit = Duration::from_millis(limit_ms);
+                match duty.kind {
+                    SESSIONS => read_list(shell, duty, round, limit),
+                    _ => probe(shell, duty, round, limit),
+                }
+            }
             Out::Cancel(duty, round) => {
                 if let Some(task) = shell.spread.running.borrow_mut().remove(&(duty, round)) {
                     task.abort();
@@ -386,7 +419,62 @@
         Some(Target { id: u64::from(n.entry.server.0), state, life: life(n) })
     };
     let targets: Vec<Target> = shell.engine(|e, _| e.nodes().filter_map(target).collect());
-    with(shell, |fleet, now_ms, out| fleet.set_targets(now_ms, READS, &targets, out));
+    for kind in [READS, SESSIONS] {
+        with(shell, |fleet, now_ms, out| fleet.set_targets(now_ms, kind, &targets, out));
+    }
+}
+
+/// Reads a node's list of sessions, as a duty, and tells all how many each run of a front has there.
+fn read_list(shell: &Rc<Shell>, duty: Duty, round: u64, limit: Duration) {
+    let node = server(duty.target);
+    let task = {
+        let shell = shell.clone();
+        spawn_local(async move {
+            let list = sessions(&shell, node, limit).await;
+            shell.spread.running.borrow_mut().remove(&(duty, round));
+            let done = list.is_some();
+            if let Some(list) = list {
+                let mut runs: BTreeMap<u64, u32> = BTreeMap::new();
+                for (_, via) in list {
+                    *runs.entry(name_hash(&via)).or_default() += 1;
+                }
+                if let Ok(body) = serde_json::to_vec(&runs) {
+                    let id = Id { space: LISTS, number: duty.target };
+                    // Too many runs for a record are told to nobody; each finds its own when fewer are left.
+                    with(&shell, |fleet, now_ms, out| fleet.put(now_ms, id, now_ms + 10_000, body, out));
+                }
+            }
+            with(&shell, |fleet, now_ms, out| fleet.finished(now_ms, duty, round, done, None, out));
+        })
+    };
+    shell.spread.running.borrow_mut().insert((duty, round), task);
+}
+
+async fn sessions(shell: &Rc<Shell>, node: ServerId, limit: Duration) -> Option<Vec<(String, String)>> {
+    let address = shell.address(node)?;
+    let path = shell.config.duties.as_ref().map(|d| d.sessions_path.clone())?;
+    shell.upstream().sessions(address, &path, limit).await
+}
+
+/// One of the fronts read a node's list. Where it does not have as many of this front's sessions as this front holds,
+/// the front reads it for itself, twice.
+fn listed(shell: &Rc<Shell>, node: ServerId, body: &[u8]) {
+    let Ok(runs) = serde_json::from_slice::<BTreeMap<u64, usize>>(body) else { return };
+    let there = runs.get(&name_hash(shell.upstream().via())).copied().unwrap_or(0);
+    if there == shell.engine(|e, _| e.sessions_at(node)) || !shell.spread.checking.borrow_mut().insert(node) {
+        return;
+    }
+    let shell = shell.clone();
+    spawn_local(async move {
+        for pause in [Duration::ZERO, TWICE] {
+            tokio::time::sleep(pause).await;
+            let Some(list) = sessions(&shell, node, TWICE).await else { break };
+            let own = list.into_iter().filter(|(_, via)| via == shell.upstream().via());
+            let paths: BTreeSet<String> = own.map(|(path, _)| path).collect();
+            shell.drive(Input::Sessions(node, paths));
+        }
+        shell.spread.checking.borrow_mut().remove(&node);
+    });
 }
 
 /// This front goes: the others are told, and take its duties over at once.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -28,6 +28,8 @@
 
 /// Bytes of a node's body at most.
 const MOST_BODY: usize = 64 << 10;
+/// Bytes of a node's list of sessions at most.
+const MOST_LIST: usize = 4 << 20;
 /// Idle connections kept for a node, and how long.
 const MOST_IDLE: usize = 32;
 const IDLE_TIME: Duration = Duration::from_secs(10);
@@ -340,6 +342,40 @@
         timeout(time, whole).await.ok().flatten()
     }
 
+    /// What this front's requests say in `Via`.
+    #[must_use]
+    pub fn via(&self) -> &str {
+        &self.via
+    }
+
+    /// Reads a node's list of sessions: the path of each and the `Via` it was set up with. An extension of the
+    /// project's own: JSON, `[{"path":"/s/1","via":"1.1 front (run 0)"}]`.
+    pub async fn sessions(
+        &self,
+        node: SocketAddr,
+        path: &str,
+        time: Duration,
+    ) -> Option<Vec<(String, String)>> {
+        #[derive(serde::Deserialize)]
+        struct Row {
+            path: String,
+            via: String,
+        }
+        let request = self.build(node, Method::GET, path, "application/json", Bytes::new())?;
+        let hold = Hold::default();
+        let whole = async {
+            let reply = self.send(node, request, &hold).await.ok()?;
+            let Reply { response, idle } = reply;
+            let found = response.status() == 200;
+            let body = Limited::new(response.into_body(), MOST_LIST).collect().await.ok()?.to_bytes();
+            self.give_back(node, idle, &hold);
+            found.then_some(body)
+        };
+        let body = timeout(time, whole).await.ok().flatten()?;
+        let rows: Vec<Row> = serde_json::from_slice(&body).ok()?;
+        rows.into_iter().map(|r| Some((path_at(node, &r.path)?, r.via))).collect()
+    }
+
     /// Chooses the rung of a session by the layer extension; false if the node did not take it.
     pub async fn set_layer(&self, node: SocketAddr, path: &str, rung: u8) -> bool {
         let body = format!("{{\"mediaId\":\"1\",\"encodingId\":\"{rung}\"}}");
--- a/crates/playout/src/face.rs
+++ b/crates/playout/src/face.rs
@@ -294,6 +294,16 @@
         ([kind @ ("whep" | "whip"), title], &Method::POST) => {
             set_up(&node, *kind == "whip", title, request, last, dead).await
         }
+        (["sessions"], &Method::GET) => {
+            let n = node.borrow();
+            n.recorder.write(What::Listed { front: front(given(&request, &VIA)) });
+            let row =
+                |(id, s): (&String, &Session)| serde_json::json!({"path": format!("/s/{id}"), "via": s.run});
+            let list: Vec<serde_json::Value> = n.sessions.iter().map(row).collect();
+            let mut r = plain(200, serde_json::to_vec(&list)?);
+            header(&mut r, CONTENT_TYPE, "application/json");
+            Ok(r)
+        }
         (["s", id], &Method::DELETE) => {
             let ended = node.borrow_mut().end(id, "delete", false);
             Ok(plain(if ended { 200 } else { 404 }, ""))
--- a/crates/playout/src/record.rs
+++ b/crates/playout/src/record.rs
@@ -31,6 +31,8 @@
     Attempt { attempt: u64, front: String, origin: String, title: String },
     /// A front asked for the node's load.
     Probe { front: String },
+    /// A front read the node's list of sessions.
+    Listed { front: String },
     /// It handed its answer to the socket.
     Answered { attempt: u64, status: u16 },
     /// The connection was closed or reset before that.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -139,6 +139,10 @@
     pub share: bool,
     /// The decision module may ask for a reading of its own, within the same bound.
     pub ask: bool,
+    /// Each node's list of sessions is read once in this time, by one of the fronts; where nodes offer it.
+    pub sessions: Option<Time>,
+    /// Where that list is.
+    pub sessions_path: String,
 }
 
 impl std::fmt::Debug for ExchangeSettings {
@@ -374,18 +378,24 @@
     let mut f = Fields::new(block);
     let probe = f.time("probe");
     let probe = f.need("probe", probe).max(100 * MS);
-    let path = f.word("path").map(|w| (w.place, w.text.clone()));
-    if let Some((place, text)) = &path {
-        if !text.starts_with('/') || !text.bytes().all(|b| b.is_ascii_graphic()) {
-            f.fault(*place, "expected: a path such as /whep");
+    let mut path = |keyword, default: &str| {
+        let given = f.word(keyword).map(|w| (w.place, w.text.clone()));
+        if let Some((place, text)) = &given {
+            if !text.starts_with('/') || !text.bytes().all(|b| b.is_ascii_graphic()) {
+                f.fault(*place, "expected: a path such as /whep");
+            }
         }
-    }
+        given.map_or_else(|| default.to_owned(), |(_, text)| text)
+    };
+    let (path, sessions_path) = (path("path", "/whep"), path("sessions-path", "/sessions"));
     let settings = DutySettings {
         probe,
         step: f.time("step").unwrap_or(probe / 4).clamp(10 * MS, probe / 2),
         limit: f.time("limit").unwrap_or(probe / 2).max(10 * MS),
         most: f.parsed("most", "whole number").unwrap_or(5).max(1),
-        path: path.map_or_else(|| "/whep".to_owned(), |(_, text)| text),
+        path,
+        sessions: f.time("sessions").map(|t| t.max(100 * MS)),
+        sessions_path,
         share: f.yes("share").unwrap_or(true),
         ask: f.yes("ask").unwrap_or(false),
     };
