Answers that browsers take: checked before they reach a viewer; trickle without If-Match

And the registries' WHEP client trickles without If-Match and got 428.

Offers are checked for credentials, fingerprint and candidates before any attempt; a node's answer is checked against its offer (number, order, direction, BUNDLE, setup, credentials, formats, rtx) before it reaches a viewer. A bad one is an error of its node, the session is deleted there, the next attempt follows. Stand-ins take over fmtp, rtcp-fb, extmap and simulcast and refuse codecs that they do not know. if-match lenient (default) takes a trickle fragment of the running ICE session without the header, a restart never. An unknown session is 404 whatever its headers.

--- a/crates/cli/tests/set_up.rs
+++ b/crates/cli/tests/set_up.rs
@@ -418,3 +418,23 @@
         assert!(rig.front.snapshot().moves > 0);
     });
 }
+
+#[test]
+fn an_answer_that_no_browser_takes_is_its_nodes_error_and_leaves_nothing_there() {
+    local(async {
+        let rig = Rig::new(3).await;
+        rig.all(Faults { garble: 1.0, ..Faults::default() });
+        let (_c, reply) = rig.ask("v", 1).await;
+        // Three attempts, each an error of its node: harmless to repeat, so the last word is a refusal.
+        assert_eq!(reply.expect("an answer").status, 503);
+        assert_eq!(rig.attempts(), 3);
+        until("no session is left at a node", || rig.sessions() == 0).await;
+        rig.assert_one_out();
+        rig.stands[1].faults(Faults::default());
+        // Nodes that erred are passed over for two seconds while another is sound; none is ruled out.
+        let (_c, reply) = rig.ask("w", 2).await;
+        assert_eq!(reply.expect("an answer").status, 201);
+        until("only the sound one plays", || rig.sessions() == 1 && rig.stands[1].state().sessions == 1)
+            .await;
+    });
+}
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -25,7 +25,7 @@
 use pepperhook_inventory::Node;
 use pepperhook_peaks::Holds;
 use pepperhook_settings::Config;
-use pepperhook_signalling::{EVENT_MOVE, LoadReport};
+use pepperhook_signalling::{Direction, EVENT_MOVE, LoadReport, Offer};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 pub use readings::life;
@@ -72,6 +72,8 @@
     layer: Option<String>,
     resource: String,
     answer: Answer,
+    /// The ICE session after a restart: the viewer's user fragment and the entity tag.
+    restarted: Option<(String, Option<String>)>,
 }
 
 /// An attempt until the node or the connection has said how it ended.
@@ -182,6 +184,12 @@
             Input::News(node, news) => self.news(now, node, news, out),
             Input::StreamEnded(node, how) => self.stream_ended(node, how, out),
             Input::Peak(peak) => self.take_peak(now, peak),
+            Input::Restarted(resource, ufrag, etag) => {
+                let live = self.resources.get(&resource).and_then(|id| self.live.get_mut(id));
+                if let Some(p) = live.and_then(|l| l.playing.as_mut()) {
+                    p.restarted = Some((ufrag, etag));
+                }
+            }
             Input::Sessions(node, listed) => self.reconcile(node, &listed, out),
             Input::Probed(node, load) => self.probed(now, node, load),
             Input::Seen(node, life, age, load) => self.seen(now, node, life, age, &load),
@@ -251,6 +259,17 @@
         }
     }
 
+    /// The running ICE session of a session: the viewer's user fragment, and the entity tag that names it.
+    #[must_use]
+    pub fn ice_session(&self, resource: &str) -> Option<(String, Option<String>)> {
+        let live = self.resources.get(resource).and_then(|id| self.live.get(id))?;
+        let p = live.playing.as_ref()?;
+        let Answer::Created { etag, .. } = &p.answer else { return None };
+        let way = if live.ask.publish { Direction::Send } else { Direction::Receive };
+        let begun = || Some((Offer::parse(&live.ask.offer, way).ok()?.ufrag, etag.clone()));
+        p.restarted.clone().or_else(begun)
+    }
+
     /// The nodes of the list.
     pub fn nodes(&self) -> impl Iterator<Item = &Node> {
         self.nodes.values().map(|n| &n.node)
@@ -569,6 +588,7 @@
             layer: c.layer,
             resource: resource.clone(),
             answer: answer.clone(),
+            restarted: None,
         });
         self.claims.plays(viewer, session);
         self.resources.insert(resource, session);
--- a/crates/front/src/engine/types.rs
+++ b/crates/front/src/engine/types.rs
@@ -116,6 +116,8 @@
     Seen(ServerId, u64, Time, LoadReport),
     /// Paths of the sessions that this run of the front has at a node, by the node's own list.
     Sessions(ServerId, std::collections::BTreeSet<String>),
+    /// The ICE session of a session was restarted: the viewer's new user fragment, and the new entity tag.
+    Restarted(String, String, Option<String>),
     /// A peak was announced, amended or called off, here or at another front.
     Peak(Peak),
     /// The event stream of a node ended, or could not be had: no connection, or this status.
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -308,18 +308,31 @@
 
 async fn patch(shell: &Rc<Shell>, id: &str, request: Request<Incoming>) -> Result<Response<Out>, Problem> {
     authorize(shell, request.headers())?;
+    // What is no session has no need of this header or that.
+    if shell.route(id).0 == Route::Unknown {
+        return Err(unknown_session());
+    }
     let is_answer = is_type(request.headers(), SDP_TYPE);
     if !is_answer && !is_type(request.headers(), FRAGMENT_TYPE) {
         return Err(wrong_type(FRAGMENT_TYPE));
     }
-    let tag = request.headers().get(IF_MATCH).and_then(|v| v.to_str().ok()).map(str::to_owned);
-    if tag.is_none() && !is_answer {
-        return Err(Problem::new(428, "if-match", "Precondition required", "If-Match names the ICE session"));
+    let given = request.headers().get(IF_MATCH).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let untagged =
+        || Problem::new(428, "if-match", "Precondition required", "If-Match names the ICE session");
+    if given.is_none() && !is_answer && !shell.config.lenient_if_match {
+        return Err(untagged());
     }
     let bytes = body(request.into_body(), &shell.config.limits).await?;
-    if !is_answer {
-        Fragment::parse(&bytes).map_err(|e| Problem::new(422, "fragment", "Bad fragment", e.to_string()))?;
-    }
+    let fragment = if is_answer { None } else { Some(Fragment::parse(&bytes)) };
+    let fragment =
+        fragment.transpose().map_err(|e| Problem::new(422, "fragment", "Bad fragment", e.to_string()))?;
+    // RFC 9725, 4.3.1 asks for the header ("MUST"); many players trickle without. What names the running ICE session by
+    // its credentials can mean no other; a restart without the header never passes.
+    let running = || {
+        let (ufrag, etag) = shell.engine(|e, _| e.ice_session(id))?;
+        fragment.as_ref().is_some_and(|f| f.ufrag.as_ref() == Some(&ufrag)).then_some(etag).flatten()
+    };
+    let tag = if is_answer { given } else { Some(given.or_else(running).ok_or_else(untagged)?) };
     // The session may have been moved while the body came: it is looked up now, not before.
     let (node, path) = match shell.route(id) {
         (Route::Node(_, path), Some(address)) => (address, path),
@@ -333,6 +346,9 @@
     let (status, etag, kind, bytes) = through.map_err(|_| {
         Problem::new(504, "node", "The node did not answer", "the change may or may not be in force")
     })?;
+    if let (200, Some(ufrag)) = (status, fragment.and_then(|f| f.ufrag)) {
+        shell.drive(Input::Restarted(id.to_owned(), ufrag, etag.clone()));
+    }
     let mut r = response(status, kind.as_deref().unwrap_or(""), bytes);
     if let Some(etag) = etag {
         set(&mut r, ETAG.as_str(), &etag);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use pepperhook_signalling::{
-    EVENT_DELIVERED, EVENT_LINK, EVENT_UPLINK, EventReader, LoadReport, ORCA_HEADER, REL_EVENTS, REL_LAYER,
-    SDP_TYPE, ServerEvent, link_with_rel,
+    Direction, EVENT_DELIVERED, EVENT_LINK, EVENT_UPLINK, EventReader, LoadReport, ORCA_HEADER, Offer,
+    REL_EVENTS, REL_LAYER, SDP_TYPE, ServerEvent, check_answer, link_with_rel,
 };
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -25,6 +25,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
+use tracing::warn;
 
 /// Bytes of a node's body at most.
 const MOST_BODY: usize = 64 << 10;
@@ -33,6 +34,8 @@
 /// Idle connections kept for a node, and how long.
 const MOST_IDLE: usize = 32;
 const IDLE_TIME: Duration = Duration::from_secs(10);
+/// Warnings of answers that do not fit come no more often.
+const WARN_EVERY: Duration = Duration::from_secs(5);
 /// An event stream that says nothing for so long is held to be broken; nodes send comments each second.
 const SILENCE: Duration = Duration::from_secs(5);
 
@@ -134,6 +137,7 @@
     pools: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     via: String,
     connect_time: Duration,
+    warned: Cell<Option<Instant>>,
 }
 
 fn text(response: &Response<Incoming>, name: impl hyper::header::AsHeaderName) -> Option<&str> {
@@ -155,7 +159,12 @@
     pub fn new(front: &str, run: u32, connect_time: Duration) -> Self {
         let front: String =
             front.chars().filter(|c| c.is_ascii_alphanumeric() || "-._".contains(*c)).collect();
-        Self { pools: RefCell::default(), via: format!("1.1 {front} (run {run:08x})"), connect_time }
+        Self {
+            pools: RefCell::default(),
+            via: format!("1.1 {front} (run {run:08x})"),
+            connect_time,
+            warned: Cell::new(None),
+        }
     }
 
     fn build(
@@ -263,6 +272,7 @@
         offer: Bytes,
         hold: &Hold,
     ) -> AttemptEnd {
+        let offered = offer.clone();
         let path = format!("/{}/{title}", if publish { "whip" } else { "whep" });
         let Some(request) = self.build(node, Method::POST, &path, SDP_TYPE, offer) else {
             return AttemptEnd::NoConnection;
@@ -290,12 +300,12 @@
         let is_sdp = text(r, CONTENT_TYPE).is_some_and(|t| t.starts_with(SDP_TYPE));
         let body = self.body(node, reply, hold).await;
         match (body, path) {
-            (Ok(answer), Some(path)) if is_sdp => {
+            (Ok(answer), Some(path)) if is_sdp && self.fits(node, publish, &offered, &answer) => {
                 AttemptEnd::Created(Created { path, etag, answer, events, layer, ice, load })
             }
             (Err(_), _) if hold.is_closed() => AttemptEnd::Closed,
             (Err(_), _) => AttemptEnd::Broken,
-            // A 201 that names no session, or is no SDP, is an answer all the same: the attempt is over.
+            // A 201 that names no session, or whose answer is no viewer's to take, is an answer all the same: the attempt is over.
             (Ok(_), Some(path)) => {
                 self.delete(node, &path).await;
                 AttemptEnd::Answered(502, load)
@@ -304,6 +314,18 @@
         }
     }
 
+    /// Whether a node's answer is one to the offer; else a viewer would reject it, and the node's session is of no use.
+    fn fits(&self, node: SocketAddr, publish: bool, offered: &[u8], answer: &[u8]) -> bool {
+        let way = if publish { Direction::Send } else { Direction::Receive };
+        let Ok(offer) = Offer::parse(offered, way) else { return false };
+        let Err(fault) = check_answer(&offer, answer) else { return true };
+        if self.warned.get().is_none_or(|at| at.elapsed() >= WARN_EVERY) {
+            self.warned.set(Some(Instant::now()));
+            warn!(event = "answer-rejected", node = %node, "{fault}");
+        }
+        false
+    }
+
     /// Deletes a session, within three tries of a second each; a node that cannot be reached has lost it.
     pub async fn delete(&self, node: SocketAddr, path: &str) {
         for pause in [0, 100, 400] {
--- a/crates/playout/src/face.rs
+++ b/crates/playout/src/face.rs
@@ -431,7 +431,7 @@
         report(node, &mut r);
         return Ok(r);
     };
-    let ufrag = format!("n{:x}", account.attempt);
+    let ufrag = format!("node{:x}", account.attempt);
     let session = Session {
         origin,
         run,
@@ -447,7 +447,16 @@
         let etag = n.sessions.get(&id).map(|s| s.etag.clone()).unwrap_or_default();
         (id, etag)
     };
-    let sdp = answer_to(offer, &format!("{}", account.attempt), &ufrag, "stand-in-password-0123456789")?;
+    let pwd = if node.borrow_mut().garbles() { "short" } else { "standinpassword0123456789" };
+    let sdp = match answer_to(offer, &format!("{}", account.attempt), &ufrag, pwd) {
+        Ok(sdp) => sdp,
+        // Nothing that it knows is offered: the session is not kept.
+        Err(_) => {
+            node.borrow_mut().end(&id, "codec", false);
+            account.answered(406);
+            return Ok(plain(406, ""));
+        }
+    };
     account.answered(201);
     *last.borrow_mut() = Some(id.clone());
     let mut r = plain(201, sdp);
@@ -503,7 +512,7 @@
             let count =
                 s.etag.trim_matches('"').rsplit('-').next().and_then(|n| n.parse::<u32>().ok()).unwrap_or(0);
             (s.etag, s.ufrag) = (format!("\"{id}-{}\"", count + 1), format!("{}r{}", s.ufrag, count + 1));
-            let restart = format!("a=ice-ufrag:{}\r\na=ice-pwd:stand-in-password-0123456789\r\n", s.ufrag);
+            let restart = format!("a=ice-ufrag:{}\r\na=ice-pwd:standinpassword0123456789\r\n", s.ufrag);
             let etag = s.etag.clone();
             let mut r = plain(200, restart);
             header(&mut r, CONTENT_TYPE, FRAGMENT_TYPE);
--- a/crates/playout/src/node.rs
+++ b/crates/playout/src/node.rs
@@ -86,6 +86,8 @@
     pub hang: f64,
     /// Share of set-ups whose answer breaks off half way.
     pub half: f64,
+    /// Share of set-ups whose answer no browser takes: its ICE password is too short.
+    pub garble: f64,
     /// Added to each set-up, milliseconds.
     pub slow_ms: u64,
     /// It goes on after the front has shut its side, and answers late.
@@ -332,6 +334,12 @@
         Fate::SetUp(Duration::from_micros((ms * 1_000.0) as u64) + Duration::from_millis(f.slow_ms))
     }
 
+    /// Whether an answer is to be one that no browser takes.
+    pub fn garbles(&mut self) -> bool {
+        let draw: f64 = self.rng.random();
+        draw < self.faults.garble
+    }
+
     /// Holds a new session; returns its id.
     pub fn hold(&mut self, mut session: Session) -> String {
         self.next += 1;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -192,6 +192,8 @@
     pub close_grace: Time,
     /// Kept back from each patience, so that the answer is with the viewer in time.
     pub answer_margin: Time,
+    /// A trickle fragment of the running ICE session is taken without `If-Match`, as many players send it.
+    pub lenient_if_match: bool,
     /// Classes, in the order of [`Settings::classes`].
     pub classes: Vec<ClassSettings>,
     /// Tenants, in the order of [`Settings::tenants`].
@@ -565,6 +567,13 @@
         connect_time: f.time("connect-time").unwrap_or(250 * MS),
         close_grace: f.time("close-grace").unwrap_or(40 * MS),
         answer_margin: f.time("answer-margin").unwrap_or(250 * MS),
+        lenient_if_match: f
+            .with("if-match", "way to take If-Match, strict or lenient", |t| match t {
+                "lenient" => Some(true),
+                "strict" => Some(false),
+                _ => None,
+            })
+            .unwrap_or(true),
         decisions: Settings {
             fronts: f.parsed("fronts", "whole number").unwrap_or(1),
             zone: ZoneId(zone as u16),
--- a/crates/signalling/src/lib.rs
+++ b/crates/signalling/src/lib.rs
@@ -10,17 +10,19 @@
 //! Be liberal in what is taken and strict in what is sent: where the two documents leave a doubt, the
 //! checks here refuse only what a node could not serve.
 
+mod answer;
 mod events;
 mod fragment;
 mod load;
 mod problem;
 mod sdp;
 
+pub use answer::{AnswerFault, answer_to, check_answer};
 pub use events::{EventReader, ServerEvent, write_event};
 pub use fragment::{Fragment, FragmentFault};
 pub use load::{LoadReport, ORCA_HEADER};
 pub use problem::{PROBLEM_JSON, Problem};
-pub use sdp::{Direction, Offer, OfferFault, answer_to, sample_offer};
+pub use sdp::{Direction, Offer, OfferFault, sample_offer};
 
 /// Media type of offers and answers (RFC 9725, 4.2).
 pub const SDP_TYPE: &str = "application/sdp";
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -334,8 +334,8 @@
         link.max(self.uplink_use(now, server.rack) + (kb + in_rack) / self.set.uplink_kb)
     }
 
-    /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction. One that
-    /// another front took some time ago changes nothing where a later one is known.
+    /// Takes in a load report; values out of range are passed over, noise is smoothed by the prediction. One
+    /// that another front took some time ago changes nothing where a later one is known.
     fn report(&mut self, now: Time, at: Time, id: ServerId, values: &[f64]) {
         let Some(server) = self.servers.get(&id) else { return };
         let (link, uplink) = (self.link_use(now, server), self.uplink_use(now, server.rack));
