A stop ends connections in order: told, heard out, half-closed before the socket goes

Listeners see three phases. From the signal every response says that its connection closes; connections between two requests have 300 ms for a last one; what lies unread as an idle one ends hears 503; the sending side is shut first, the rest is read for a bounded time. The backlog is served to the end. Console and viewers' listener alike.

--- a/crates/front/src/console.rs
+++ b/crates/front/src/console.rs
@@ -1,6 +1,6 @@
 //! The operators' page, on a listener of its own: authenticated by the admin key, loopback by default.
 
-use crate::http::{Events, Out, accept, body, problem, response, set};
+use crate::http::{Events, Out, Phase, accept, body, problem, response, set};
 use crate::shell::Shell;
 use crate::spread::{NotTaken, announce};
 use http_body_util::BodyExt;
@@ -20,11 +20,11 @@
 const EVERY: Duration = Duration::from_secs(1);
 
 /// Serves until told to close.
-pub async fn serve(shell: Rc<Shell>, listener: TcpListener, closed: watch::Receiver<bool>) {
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let mut limits = shell.config.limits;
     // A console has few readers; they must not take the viewers' descriptors.
     limits.connections = limits.connections.min(64);
-    accept(listener, limits, closed, move |request| {
+    accept(listener, limits, phase, move |request| {
         let shell = shell.clone();
         async move { answer(&shell, request).await }
     })
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -17,7 +17,8 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tracing::warn;
 
@@ -110,27 +111,50 @@
     }
 }
 
-/// Accepts connections until told to close; then those that are open finish what they are writing.
-pub async fn accept<F, R>(listener: TcpListener, limits: Limits, closed: watch::Receiver<bool>, each: F)
+/// How far a front's stop has come, as its listeners see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It takes no new work: each response closes its connection (RFC 9112, 9.6).
+    Stopping,
+    /// Connections end.
+    Closing,
+}
+
+/// A connection between two requests has so long for its next one once the front stops.
+const NEXT_TIME: Duration = Duration::from_millis(300);
+/// After its sending side is shut a connection is read on for so long, and for so many bytes, so that no response is
+/// lost to a reset (RFC 9112, 9.6).
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 1 << 20;
+/// What a request hears that came as its connection was about to be shut.
+const LATE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n\
+access-control-allow-origin: *\r\ncontent-length: 0\r\n\r\n";
+
+/// Accepts connections until told to close; those that wait in the backlog then are served too.
+pub async fn accept<F, R>(listener: TcpListener, limits: Limits, phase: watch::Receiver<Phase>, each: F)
 where
-    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(Request<Incoming>) -> R + Clone + Unpin + 'static,
     R: Future<Output = Response<Out>> + 'static,
 {
     let open = Rc::new(Cell::new(0usize));
-    let mut closing = closed.clone();
+    let mut closing = phase.clone();
     let mut told = tokio::time::Instant::now() - Duration::from_secs(10);
     loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    // Out of descriptors, most likely: the next one is tried once some may be free.
-                    warn!(event = "accept-failed", "{e}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                    continue;
-                }
-            },
-            _ = closing.wait_for(|c| *c) => return,
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|p| *p == Phase::Closing) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, most likely: the next one is tried once some may be free.
+                warn!(event = "accept-failed", "{e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
         };
         if open.get() >= limits.connections {
             if told.elapsed() > Duration::from_secs(5) {
@@ -145,27 +169,96 @@
         }
         let _ = stream.set_nodelay(true);
         open.set(open.get() + 1);
-        let (each, open, mut closing) = (each.clone(), open.clone(), closed.clone());
+        let (each, open, phase) = (each.clone(), open.clone(), phase.clone());
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let answer = each(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_nanos(limits.head_time))
-                .max_buf_size(limits.head)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                // How a client's connection ended is told by what it left unanswered.
-                _ = &mut connection => {}
-                _ = closing.wait_for(|c| *c) => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = tokio::time::timeout(Duration::from_millis(900), connection).await;
-                }
-            }
+            serve(stream, limits, phase, each).await;
             open.set(open.get() - 1);
         });
     }
 }
+
+/// Serves one connection to its end.
+async fn serve<F, R>(stream: TcpStream, limits: Limits, phase: watch::Receiver<Phase>, each: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Unpin + 'static,
+    R: Future<Output = Response<Out>> + 'static,
+{
+    // Whether a response has said that the connection closes: nothing may follow that one.
+    let said: Rc<Cell<bool>> = Rc::default();
+    let (stopping, saying) = (phase.clone(), said.clone());
+    let service = service_fn(move |request| {
+        let (answer, stopping, saying) = (each(request), stopping.clone(), saying.clone());
+        Box::pin(async move {
+            let mut response = answer.await;
+            if *stopping.borrow() >= Phase::Stopping {
+                set(&mut response, "connection", "close");
+                saying.set(true);
+            }
+            Ok::<_, Infallible>(response)
+        })
+    });
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_nanos(limits.head_time))
+        .max_buf_size(limits.head)
+        .serve_connection(TokioIo::new(stream), service);
+    let whole = {
+        let mut served = std::pin::pin!(std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)));
+        let mut stopped = phase.clone();
+        let time_up = async {
+            let _ = stopped.wait_for(|p| *p >= Phase::Stopping).await;
+            tokio::time::sleep(NEXT_TIME).await;
+        };
+        tokio::select! {
+            // How a client's connection ended is told by what it left unanswered.
+            ended = &mut served => Some(ended.is_ok()),
+            () = time_up => None,
+        }
+    };
+    let whole = match whole {
+        Some(whole) => whole,
+        None => {
+            // Between two requests it ends here; one that is being answered, or streams, ends as that does.
+            Pin::new(&mut connection).graceful_shutdown();
+            let mut ended = phase.clone();
+            let last = async {
+                let _ = ended.wait_for(|p| *p == Phase::Closing).await;
+                tokio::time::sleep(NEXT_TIME).await;
+            };
+            tokio::select! {
+                ended = std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended.is_ok(),
+                () = last => false,
+            }
+        }
+    };
+    if *phase.borrow() == Phase::Serving || !whole {
+        return;
+    }
+    let parts = connection.into_parts();
+    finish(parts.io.into_inner(), !parts.read_buf.is_empty(), said.get()).await;
+}
+
+/// Ends a connection in order: what came too late is told so, the sending side is shut, the rest is read and left.
+async fn finish(mut stream: TcpStream, mut late: bool, said_close: bool) {
+    let mut buffer = [0u8; 4_096];
+    let mut read = 0;
+    while !late {
+        match stream.try_read(&mut buffer) {
+            Ok(n) if n > 0 => (late, read) = (true, n),
+            _ => break,
+        }
+    }
+    if late && !said_close {
+        let _ = tokio::time::timeout(LINGER, stream.write_all(LATE)).await;
+    }
+    let _ = stream.shutdown().await;
+    let drained = async {
+        while read < LINGER_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(n) if n > 0 => read += n,
+                _ => break,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER, drained).await;
+}
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -12,7 +12,7 @@
 //! where tokens are set (`docs/operators.md`).
 
 use crate::engine::types::*;
-use crate::http::{Events, Out, accept, add, body, problem, response, set};
+use crate::http::{Events, Out, Phase, accept, add, body, problem, response, set};
 use crate::shell::Shell;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -39,9 +39,9 @@
 const NAME: usize = 256;
 
 /// Serves until told to close.
-pub async fn serve(shell: Rc<Shell>, listener: TcpListener, closed: watch::Receiver<bool>) {
+pub async fn serve(shell: Rc<Shell>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let limits = shell.config.limits;
-    accept(listener, limits, closed, move |request| {
+    accept(listener, limits, phase, move |request| {
         let shell = shell.clone();
         async move { answer(&shell, request).await }
     })
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::types::*;
 use crate::engine::{Engine, Snapshot};
+use crate::http::Phase;
 use crate::spread::Spread;
 use crate::upstream::{Hold, Upstream};
 use crate::{console, listener, spread};
@@ -58,6 +59,9 @@
 /// What is still to be told to nodes when the front stops takes so long at most.
 const LAST_WORDS: Duration = Duration::from_millis(800);
 
+/// Connections that are open then end within this time.
+const LAST_CONNECTIONS: Duration = Duration::from_millis(1_200);
+
 /// Rungs on their way to a node: the latest counts, one request at a time.
 type Layers = HashMap<(ServerId, String), Option<u8>>;
 
@@ -345,7 +349,7 @@
     address: SocketAddr,
     admin: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
-    close: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
 }
 
 impl Front {
@@ -390,16 +394,16 @@
         shell.drive(Input::Nodes(nodes));
         spread::recall(&shell);
         spread::list(&shell);
-        let (close, closed) = watch::channel(false);
+        let (phase, seen) = watch::channel(Phase::Serving);
         let mut tasks = vec![
             spawn_local(shell.clone().timers()),
-            spawn_local(listener::serve(shell.clone(), listener, closed.clone())),
-            spawn_local(console::serve(shell.clone(), admin, closed)),
+            spawn_local(listener::serve(shell.clone(), listener, seen.clone())),
+            spawn_local(console::serve(shell.clone(), admin, seen)),
         ];
         tasks.extend(socket.map(|s| spawn_local(spread::run(shell.clone(), s))));
         tasks.extend(keeper.map(|k| spawn_local(shell.clone().watch(k))));
         info!(event = "serving", address = %address, admin = %admin_address, "the front serves");
-        Ok(Self { shell, address, admin: admin_address, tasks, close })
+        Ok(Self { shell, address, admin: admin_address, tasks, phase })
     }
 
     /// Where viewers come.
@@ -433,6 +437,7 @@
         info!(event = "stopping", waiting = shell.snapshot().waiting, "no new requests are taken");
         shell.engine.borrow_mut().stop();
         spread::leave(shell);
+        let _ = self.phase.send(Phase::Stopping);
         let longest = shell.config.classes.iter().map(|c| c.patience).max().unwrap_or(0);
         let idle = async {
             while !shell.engine.borrow().is_idle() {
@@ -451,9 +456,9 @@
             }
         };
         let _ = tokio::time::timeout(LAST_WORDS, done).await;
-        // Connections finish what they are writing.
-        let _ = self.close.send(true);
-        let _ = tokio::time::timeout(Duration::from_secs(1), self.close.closed()).await;
+        // Connections finish what they are writing, and say that they end.
+        let _ = self.phase.send(Phase::Closing);
+        let _ = tokio::time::timeout(LAST_CONNECTIONS, self.phase.closed()).await;
         self.tasks.iter().for_each(JoinHandle::abort);
         info!(event = "stopped", "the front has stopped");
     }
