Errors of settings and lists say what is wrong: no line 0, what a section rules holds

A fault of a whole list names no line; missing rules are told with an example, since they have no defaults. Tests for both.

--- a/crates/inventory/src/keep.rs
+++ b/crates/inventory/src/keep.rs
@@ -39,7 +39,7 @@
 }
 
 fn unreadable(e: &io::Error) -> Vec<Fault> {
-    vec![Fault { line: 0, column: String::new(), what: format!("cannot be read: {e}") }]
+    vec![Fault { line: 0, column: String::new(), what: format!("the list cannot be read: {e}") }]
 }
 
 impl Keeper {
@@ -124,6 +124,14 @@
         Keeper::new(dir.join("nodes.csv"), Some(dir), names)
     }
 
+    #[test]
+    fn a_list_that_is_not_there_names_no_line() {
+        let dir = tempfile::tempdir().expect("a folder");
+        let faults = keeper(dir.path()).start().expect_err("no list");
+        let said = faults.iter().map(ToString::to_string).collect::<String>();
+        assert!(said.contains("cannot be read") && !said.contains("line"), "{said}");
+    }
+
     #[test]
     fn a_file_in_writing_is_waited_for_and_a_bad_one_leaves_the_last_good_list() {
         let dir = tempfile::tempdir().expect("a folder");
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -44,7 +44,7 @@
 /// One fault of a list, with its place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
-    /// Line, from 1.
+    /// Line, from 1; 0 where the whole file is meant.
     pub line: u64,
     /// Column of the table, by name; empty where the whole line is meant.
     pub column: String,
@@ -56,6 +56,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let column =
             if self.column.is_empty() { String::new() } else { format!(" column '{}':", self.column) };
+        if self.line == 0 {
+            return f.write_str(&self.what);
+        }
         write!(f, "line {}:{column} {}", self.line, self.what)
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -324,6 +324,10 @@
     (ClassSettings { name, patience, ingest }, class)
 }
 
+/// What is wrong where no section has the figures behind the rules; there are no defaults for those.
+const MISSING_RULES: &str = "these settings have no section rules, such as: section rules / cold-share 0.4 / cold 12s / \
+    fall-multiple 2.5 / fall-window 2s";
+
 fn rules(block: &Block, faults: &mut Vec<Fault>) -> Rules {
     let mut f = Fields::new(block);
     let (share, cold) = (f.number("cold-share"), f.time("cold"));
@@ -488,7 +492,7 @@
     let rules = match blocks.iter().find(|b| b.kind == "rules") {
         Some(block) => rules(block, &mut faults),
         None => {
-            faults.push(Fault { place: blocks[0].place, what: "there is no section rules".into() });
+            faults.push(Fault { place: blocks[0].place, what: MISSING_RULES.into() });
             Rules { cold_share: 1.0, cold: 1, fall_multiple: 1.0, fall_window: 1, budget: None }
         }
     };
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -71,3 +71,10 @@
     let e = with("peer nowhere\npeer 127.0.0.1:1\npeer 127.0.0.1:1\n").expect_err("faults").to_string();
     assert!(e.contains("nowhere") && e.contains("given twice") && e.contains("lack 'key'"), "{e}");
 }
+
+#[test]
+fn settings_without_rules_are_told_what_to_write() {
+    let text = GOOD.split("section rules").next().expect("what is before");
+    let said = Config::parse("front.conf", text).expect_err("no rules").to_string();
+    assert!(said.contains("have no section rules") && said.contains("fall-window 2s"), "{said}");
+}
