Read again: a weight nobody asks for, a loop that runs once and a check of its own condition gone

Fleet kept a weight that only an unused reader had; the end of a connection looped where it reads once; a debug check repeated the filter above it.

--- a/crates/duties/src/board.rs
+++ b/crates/duties/src/board.rs
@@ -475,8 +475,7 @@
         self.enter(now_ms, duty);
         let (ready, stopped) = (now_ms >= self.ready_ms, self.stopped);
         let Some(slot) = self.slots.get_mut(&duty) else { return };
-        if let Some((round, until)) = slot.running.filter(|(_, until)| *until <= now_ms) {
-            debug_assert!(until <= now_ms);
+        if let Some((round, _)) = slot.running.filter(|(_, until)| *until <= now_ms) {
             slot.running = None;
             slot.failures = slot.failures.saturating_add(u8::from(slot.round == Some(round)));
             self.counters.broken_off += 1;
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -106,7 +106,6 @@
     /// Kept fixed peers: the seeds.
     seeds: Vec<SocketAddr>,
     me: u64,
-    weight: u16,
     share_ms: u64,
     /// The view changed since the last tick.
     changed: bool,
@@ -151,7 +150,6 @@
             readings: Readings::default(),
             seeds,
             me,
-            weight: settings.view.map_or(1, |v| v.weight),
             share_ms,
             changed: false,
             listens_ms: 0,
@@ -505,10 +503,4 @@
     pub fn refused(&self) -> u64 {
         self.membership.as_ref().map_or(0, Membership::refused)
     }
-
-    /// This front's weight.
-    #[must_use]
-    pub fn weight(&self) -> u16 {
-        self.weight
-    }
 }
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -242,11 +242,8 @@
 async fn finish(mut stream: TcpStream, mut late: bool, said_close: bool) {
     let mut buffer = [0u8; 4_096];
     let mut read = 0;
-    while !late {
-        match stream.try_read(&mut buffer) {
-            Ok(n) if n > 0 => (late, read) = (true, n),
-            _ => break,
-        }
+    if let (false, Ok(n)) = (late, stream.try_read(&mut buffer)) {
+        (late, read) = (n > 0, n);
     }
     if late && !said_close {
         let _ = tokio::time::timeout(LINGER, stream.write_all(LATE)).await;
