--- /dev/null
+++ b/crates/changelog/src/known.rs
@@ -0,0 +1,57 @@
+//! The events of a start, as JSON in the configuration.
+
+use crate::{Entry, Event, State};
+use serde_json::Value;
+
+/// Reads `{"seq": LAST, "results": [...]}`; zones and kinds are named as in the settings' lists.
+///
+/// # Errors
+/// Names the field that is missing or wrong.
+pub fn known(v: &Value, zones: &[String], kinds: &[String]) -> Result<Vec<Event>, String> {
+    let results = v.get("results").and_then(Value::as_array).ok_or("known: 'results' is no list")?;
+    results
+        .iter()
+        .enumerate()
+        .map(|(i, e)| event(e, zones, kinds).map_err(|e| format!("known: event {i}: {e}")))
+        .collect()
+}
+
+fn event(v: &Value, zones: &[String], kinds: &[String]) -> Result<Event, String> {
+    let number = v.get("seq").and_then(Value::as_u64).ok_or("'seq' is no whole number")?;
+    let fleet = v.get("fleet").ok_or("'fleet' is missing")?;
+    let full = fleet.get("full").and_then(Value::as_bool).unwrap_or(false);
+    let servers = fleet.get("servers").and_then(Value::as_array).ok_or("'servers' is no list")?;
+    let entries = servers.iter().map(|s| entry(s, zones, kinds)).collect::<Result<_, _>>()?;
+    Ok(Event { number, full, entries })
+}
+
+/// Writes as text and reads back what an id stands for.
+fn id(text: &str) -> Option<u32> {
+    let digits = text.strip_prefix("s-").filter(|d| d.len() == 8)?;
+    u32::from_str_radix(digits, 16).ok()
+}
+
+fn entry(v: &Value, zones: &[String], kinds: &[String]) -> Result<Entry, String> {
+    let text = |key: &str| v.get(key).and_then(Value::as_str).ok_or(format!("'{key}' is no text"));
+    let place = |key: &str, names: &[String]| {
+        let name = text(key)?;
+        let at = names.iter().position(|n| n == name).and_then(|i| u16::try_from(i).ok());
+        at.ok_or(format!("'{key}' {name:?} is not in the settings"))
+    };
+    let whole = |key: &str| v.get(key).and_then(Value::as_u64);
+    Ok(Entry {
+        id: id(text("id")?).ok_or("'id' is not of the form s- and 8 hex digits")?,
+        address: text("addr")?.parse().map_err(|_| "'addr' is no address and port")?,
+        state: match text("state")? {
+            "up" => State::Ready,
+            "draining" => State::Draining,
+            "removed" => State::Gone,
+            other => return Err(format!("'state' {other:?} is unknown")),
+        },
+        zone: place("zone", zones)?,
+        kind: place("kind", kinds)?,
+        cell: whole("cell").and_then(|c| u32::try_from(c).ok()).ok_or("'cell' is no whole number")?,
+        weight: v.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+        started_ms: whole("started_ms").unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/crates/changelog/src/tests.rs
@@ -0,0 +1,97 @@
+use super::*;
+use proptest::prelude::*;
+use serde_json::json;
+
+fn frame(number: u64, kind: u8, records: &[Entry]) -> Vec<u8> {
+    let mut out = Vec::new();
+    out.extend((9 + records.len() as u32 * 27).to_be_bytes());
+    out.extend(number.to_be_bytes());
+    out.push(kind);
+    for e in records {
+        out.extend(e.id.to_be_bytes());
+        out.extend(e.address.ip().octets());
+        out.extend(e.address.port().to_be_bytes());
+        out.push(match e.state {
+            State::Ready => 0,
+            State::Draining => 1,
+            State::Gone => 2,
+        });
+        out.extend([e.zone as u8, e.kind as u8]);
+        out.extend((e.cell as u16).to_be_bytes());
+        out.extend(((e.weight * 1000.0) as u32).to_be_bytes());
+        out.extend(e.started_ms.to_be_bytes());
+    }
+    out
+}
+
+fn node(id: u32, state: State) -> Entry {
+    let address = SocketAddrV4::new(Ipv4Addr::new(127, 1, 0, id as u8), 2905);
+    Entry { id, address, state, zone: 0, kind: 1, cell: 2, weight: 3.5, started_ms: 7 }
+}
+
+fn all(pieces: &[&[u8]]) -> Result<Vec<Frame>, Fault> {
+    let (mut decoder, mut out) = (Decoder::default(), Vec::new());
+    for piece in pieces {
+        decoder.feed(piece);
+        while let Some(f) = decoder.next()? {
+            out.push(f);
+        }
+    }
+    Ok(out)
+}
+
+#[test]
+fn known_events_and_records_give_the_same_values() {
+    let v = json!({"seq": 4, "results": [{"seq": 4, "fleet": {"version": 1, "full": true, "servers": [
+        {"id": "s-00000009", "addr": "127.1.0.9:2905", "zone": "a", "kind": "big", "cell": 2, "state": "draining",
+         "weight": 3.5, "started_ms": 7}]}}]});
+    let names = |n: &[&str]| n.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
+    let (zones, kinds) = (names(&["a"]), names(&["small", "big"]));
+    let told = all(&[&frame(4, 1, &[node(9, State::Draining)])]).expect("reads");
+    assert_eq!(told, [Frame::Event(known(&v, &zones, &kinds).expect("reads").remove(0))]);
+    let fault = known(&v, &zones, &names(&["small"])).expect_err("unknown kind");
+    assert!(fault.contains("event 0") && fault.contains("'kind'"), "{fault}");
+}
+
+#[test]
+fn an_event_is_taken_once_and_a_gap_not_at_all() {
+    let mut list = List::default();
+    let event = |number, full, entries: &[Entry]| Event { number, full, entries: entries.to_vec() };
+    assert_eq!(list.apply(&event(3, true, &[node(1, State::Ready), node(2, State::Ready)])), Applied::New);
+    assert_eq!(list.apply(&event(5, false, &[node(1, State::Gone)])), Applied::Gap);
+    assert_eq!(list.apply(&event(3, false, &[node(1, State::Gone)])), Applied::Known);
+    assert_eq!((list.last(), list.nodes().len()), (3, 2));
+    assert_eq!(list.apply(&event(4, false, &[node(1, State::Gone)])), Applied::New);
+    assert_eq!((list.last(), list.nodes().keys().copied().collect::<Vec<_>>()), (4, vec![2]));
+    assert!(list.is_behind(5) && !list.is_behind(4));
+}
+
+#[test]
+fn lengths_kinds_and_states_that_lie_are_faults() {
+    assert_eq!(all(&[&[0, 0, 0, 8]]), Err(Fault::Length));
+    assert_eq!(all(&[&[0xff, 0xff, 0xff, 0xff]]), Err(Fault::Length));
+    assert_eq!(all(&[&[0, 0, 0, 10]]), Err(Fault::Length));
+    assert_eq!(all(&[&frame(1, 3, &[])]), Err(Fault::Kind));
+    let mut bad = frame(1, 2, &[node(1, State::Ready)]);
+    bad[13 + 10] = 9;
+    assert_eq!(all(&[&bad]), Err(Fault::State));
+}
+
+proptest! {
+    #[test]
+    fn any_split_gives_the_same_frames(cuts in prop::collection::vec(0usize..120, 0..8)) {
+        let whole = [frame(1, 1, &[node(1, State::Ready), node(2, State::Draining)]), frame(1, 0, &[]),
+                     frame(2, 2, &[node(1, State::Gone)])].concat();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(whole.len())).collect();
+        cuts.extend([0, whole.len()]);
+        cuts.sort_unstable();
+        let pieces: Vec<&[u8]> = cuts.windows(2).map(|w| &whole[w[0]..w[1]]).collect();
+        prop_assert_eq!(all(&pieces), all(&[&whole]));
+        prop_assert_eq!(all(&pieces).map(|f| f.len()), Ok(3));
+    }
+
+    #[test]
+    fn no_bytes_panic(bytes in prop::collection::vec(any::<u8>(), 0..2000)) {
+        let _ = all(&[&bytes]);
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod log;
 mod peak;
+mod platform;
 mod rehearse;
 mod serve;
 
@@ -41,6 +42,12 @@
         #[arg(short, long)]
         config: PathBuf,
     },
+    /// Run a front end on the platform's protocol until SIGTERM; nothing else listens, nothing is stored.
+    Platform {
+        /// The platform's configuration; else the environment variable BALANCER_CONFIG names it.
+        #[arg(short, long)]
+        config: Option<PathBuf>,
+    },
     /// Read settings and the list of nodes, print what is wrong, start nothing.
     Check {
         /// Settings file.
@@ -128,6 +135,7 @@
 fn main() -> ExitCode {
     let exit = match Arguments::parse().command {
         Verb::Serve { config } => serve::serve(&config),
+        Verb::Platform { config } => platform::platform(config.as_deref()),
         Verb::Check { config } => serve::check(&config),
         Verb::Playout { config, record } => run(serve::playout(config, record)),
         Verb::Rehearse(what) => {
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,40 @@
+//! `platform`: the front end on the platform's protocol.
+
+use crate::{Exit, log, run};
+use pepperhook_platform::Config;
+use std::path::Path;
+
+/// Runs a front end until a signal.
+pub fn platform(path: Option<&Path>) -> Exit {
+    let variable = |name: &str| std::env::var(name).ok();
+    let path = match (path, variable("BALANCER_CONFIG")) {
+        (Some(path), _) => path.to_owned(),
+        (None, Some(path)) => path.into(),
+        (None, None) => {
+            eprintln!("pepperhook: neither --config nor BALANCER_CONFIG names a configuration");
+            return Exit::Usage;
+        }
+    };
+    let config = match Config::load(&path) {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            return Exit::Usage;
+        }
+    };
+    let (name, listen) = (variable("BALANCER_NAME"), variable("BALANCER_LISTEN"));
+    if let Err(e) = config.agrees(name.as_deref(), listen.as_deref()) {
+        eprintln!("pepperhook: {}: {e}", path.display());
+        return Exit::Usage;
+    }
+    log::start(pepperhook_settings::LogForm::Text, "info");
+    run(async move {
+        match pepperhook_platform::run(config, path).await {
+            Ok(()) => Exit::Done,
+            Err(e) => {
+                eprintln!("pepperhook: {e}");
+                Exit::Usage
+            }
+        }
+    })
+}
--- a/crates/front/src/engine/tally.rs
+++ b/crates/front/src/engine/tally.rs
@@ -87,6 +87,7 @@
         Outcome::TimedOut => "timed-out",
         Outcome::ConnectFailed => "no-connection",
         Outcome::Broken => "broken",
+        Outcome::LinkBroken => "link-broken",
         Outcome::Cancelled => "cancelled",
         Outcome::Unsent => "unsent",
     }
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tracing::warn;
@@ -124,10 +124,6 @@
 
 /// A connection between two requests has so long for its next one once the front stops.
 const NEXT_TIME: Duration = Duration::from_millis(300);
-/// After its sending side is shut a connection is read on for so long, and for so many bytes, so that no response is
-/// lost to a reset (RFC 9112, 9.6).
-const LINGER: Duration = Duration::from_millis(500);
-const LINGER_BYTES: usize = 1 << 20;
 /// What a request hears that came as its connection was about to be shut.
 const LATE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nretry-after: 1\r\n\
 access-control-allow-origin: *\r\ncontent-length: 0\r\n\r\n";
@@ -142,20 +138,11 @@
     let mut closing = phase.clone();
     let mut told = tokio::time::Instant::now() - Duration::from_secs(10);
     loop {
-        let accepted = tokio::select! {
+        let (stream, _) = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            accepted = pepperhook_net::accept(&listener) => accepted,
             _ = closing.wait_for(|p| *p == Phase::Closing) => return,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                // Out of descriptors, most likely: the next one is tried once some may be free.
-                warn!(event = "accept-failed", "{e}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
         if open.get() >= limits.connections {
             if told.elapsed() > Duration::from_secs(5) {
                 told = tokio::time::Instant::now();
@@ -167,7 +154,6 @@
             }
             continue;
         }
-        let _ = stream.set_nodelay(true);
         open.set(open.get() + 1);
         let (each, open, phase) = (each.clone(), open.clone(), phase.clone());
         tokio::task::spawn_local(async move {
@@ -246,16 +232,7 @@
         (late, read) = (n > 0, n);
     }
     if late && !said_close {
-        let _ = tokio::time::timeout(LINGER, stream.write_all(LATE)).await;
+        let _ = tokio::time::timeout(NEXT_TIME, stream.write_all(LATE)).await;
     }
-    let _ = stream.shutdown().await;
-    let drained = async {
-        while read < LINGER_BYTES {
-            match stream.read(&mut buffer).await {
-                Ok(n) if n > 0 => read += n,
-                _ => break,
-            }
-        }
-    };
-    let _ = tokio::time::timeout(LINGER, drained).await;
+    pepperhook_net::linger(&mut stream, read).await;
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -17,4 +17,5 @@
 mod upstream;
 
 pub use engine::Snapshot;
-pub use shell::{Clock, Front};
+pub use pepperhook_net::Clock;
+pub use shell::Front;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -8,6 +8,7 @@
 use crate::{console, listener, spread};
 use pepperhook::{ServerId, Time};
 use pepperhook_inventory::{Keeper, Look, Node};
+use pepperhook_net::Clock;
 use pepperhook_settings::Config;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,45 +16,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Unix time in nanoseconds that never goes back: read once, then counted by the monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    base: Time,
-    start: Instant,
-}
-
-impl Clock {
-    /// A clock that starts at the system's time.
-    #[must_use]
-    pub fn new() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Time);
-        Self { base, start: Instant::now() }
-    }
-
-    /// Now.
-    #[must_use]
-    pub fn now(&self) -> Time {
-        self.base.saturating_add(self.start.elapsed().as_nanos() as Time)
-    }
-
-    fn instant(&self, at: Time) -> Instant {
-        self.start + Duration::from_nanos(at.saturating_sub(self.base))
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Events of one viewer that wait to be read, at most; a viewer who does not read loses the later ones.
 const EVENTS_KEPT: usize = 16;
 /// What is still to be told to nodes when the front stops takes so long at most.
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,79 @@
+//! What fronts share below their protocols: the clock, the guard around accepting, and an orderly end of a connection.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+use tracing::warn;
+
+/// Unix time in nanoseconds that never goes back: read once, then counted by the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: u64,
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts at the system's time.
+    #[must_use]
+    pub fn new() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
+        Self { base, start: Instant::now() }
+    }
+
+    /// Now.
+    #[must_use]
+    pub fn now(&self) -> u64 {
+        self.base.saturating_add(self.start.elapsed().as_nanos() as u64)
+    }
+
+    /// The moment at which this clock shows `at`.
+    #[must_use]
+    pub fn instant(&self, at: u64) -> Instant {
+        self.start + Duration::from_nanos(at.saturating_sub(self.base))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Accepts the next connection. Where that fails, out of descriptors most likely, it is tried again once some may be
+/// free.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let _ = stream.set_nodelay(true);
+                return (stream, peer);
+            }
+            Err(e) => {
+                warn!(event = "accept-failed", "{e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// After its sending side is shut a connection is read on for so long, and for so many bytes, so that what was written
+/// is not lost to a reset (RFC 9112, 9.6).
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 1 << 20;
+
+/// Shuts the sending side, reads on within bounds and lets go; `read` bytes count as read already.
+pub async fn linger(stream: &mut TcpStream, mut read: usize) {
+    let mut buffer = [0u8; 4_096];
+    let _ = stream.shutdown().await;
+    let drained = async {
+        while read < LINGER_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(n) if n > 0 => read += n,
+                _ => break,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(LINGER, drained).await;
+}
--- a/simhost/src/settings.rs
+++ b/crates/parameters/src/lib.rs
@@ -1,9 +1,13 @@
-//! Turns the wire's settings (JSON) into the library's.
+//! Reads the settings object that the simulator's first message and the platform's configuration hand over alike.
+//! Keys it does not know are passed over; one that is missing is named.
 
-use pepperhook::{Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, ZoneId};
+use pepperhook::{
+    Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, Time, ZoneId,
+};
 use serde_json::Value;
 
-type Parsed<T> = Result<T, String>;
+/// The value, or what is wrong with the object.
+pub type Parsed<T> = Result<T, String>;
 
 fn need<'a>(v: &'a Value, key: &str) -> Parsed<&'a Value> {
     v.get(key).ok_or_else(|| format!("settings lack '{key}'"))
@@ -89,15 +93,25 @@
     }
 }
 
-/// Parses the settings of one instance.
+/// Parses the settings of one instance from text.
+///
+/// # Errors
+/// Names the key that is missing or wrong.
 pub fn parse(raw: &[u8]) -> Parsed<Settings> {
-    let v: Value = serde_json::from_slice(raw).map_err(|e| format!("settings are not JSON: {e}"))?;
-    let (specifics, limits, rules) = (need(&v, "specifics")?, need(&v, "limits")?, need(&v, "rules")?);
+    decisions(&serde_json::from_slice(raw).map_err(|e| format!("settings are not JSON: {e}"))?)
+}
+
+/// Reads what the decision module needs.
+///
+/// # Errors
+/// Names the key that is missing or wrong.
+pub fn decisions(v: &Value) -> Parsed<Settings> {
+    let (specifics, limits, rules) = (need(v, "specifics")?, need(v, "limits")?, need(v, "rules")?);
     let (rates, worths) = (numbers(specifics, "rung_kb")?, numbers(specifics, "ladder_worth")?);
     if rates.len() != worths.len() {
         return Err("settings: 'rung_kb' and 'ladder_worth' differ in length".into());
     }
-    let classes = list(&v, "classes")?;
+    let classes = list(v, "classes")?;
     let tenants = v.get("tenants").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
     let gauges = v.get("load_report").and_then(|r| r.get("fields")).and_then(Value::as_array);
     let price = |key: &str| v.get("prices").map_or(0.0, |p| or(p, key, 0.0));
@@ -107,11 +121,11 @@
         window: or(rules, "look_back_ns", 0.0) as u64,
     });
     Ok(Settings {
-        fronts: small(&v, "n_instances")?,
-        zone: ZoneId(small(&v, "az")?),
+        fronts: small(v, "n_instances")?,
+        zone: ZoneId(small(v, "az")?),
         classes: classes.iter().enumerate().map(|(i, c)| class(c, i, specifics)).collect::<Parsed<_>>()?,
         tenants: tenants.iter().map(|t| Tenant { quota_per_s: or(t, "quota_per_s", 0.0) }).collect(),
-        over_share_worth: or(&v, "over_share_worth", 1.0),
+        over_share_worth: or(v, "over_share_worth", 1.0),
         ladder: rates.into_iter().zip(worths).map(|(kb, worth)| Rung { kb, worth }).collect(),
         kind_streams: numbers(specifics, "kind_slots")?,
         racks: small(specifics, "groups")?,
@@ -129,7 +143,7 @@
         max_advice: or(limits, "max_retry_after_ns", 0.0) as u64,
         max_attempts: small(limits, "max_attempts")?,
         list_on_request: v.get("membership_mode").and_then(Value::as_str) == Some("ask"),
-        step: or(&v, "step_ns", 0.0) as u64,
+        step: or(v, "step_ns", 0.0) as u64,
         prices: Prices { moved: price("moves"), cross_zone: price("cross_zone"), probe: price("probe") },
         rules: Rules {
             cold_share: number(rules, "start_capacity")?,
@@ -140,3 +154,49 @@
         },
     })
 }
+
+/// What a front end on sockets needs of the settings besides the module's own.
+#[derive(Clone, Debug)]
+pub struct Sockets {
+    /// Names of the classes, in their order.
+    pub classes: Vec<String>,
+    /// How long a viewer of each class waits at most, nanoseconds.
+    pub deadlines: Vec<Time>,
+    /// Names of zones.
+    pub zones: Vec<String>,
+    /// Names of kinds of node.
+    pub kinds: Vec<String>,
+    /// Names of the values of a load report, in the module's order.
+    pub fields: Vec<String>,
+    /// A connection that is not up by then is given up, nanoseconds.
+    pub dial: Time,
+    /// Nodes close idle connections after this, nanoseconds.
+    pub idle: Time,
+    /// Set-ups that one connection carries at a time.
+    pub streams: usize,
+}
+
+fn names(v: &Value, key: &str) -> Parsed<Vec<String>> {
+    let one =
+        |x: &Value| x.as_str().map(str::to_owned).ok_or_else(|| format!("settings: '{key}' holds no text"));
+    list(v, key)?.iter().map(one).collect()
+}
+
+/// Parses what a front end on sockets needs besides.
+///
+/// # Errors
+/// Names the key that is missing or wrong.
+pub fn sockets(v: &Value) -> Parsed<Sockets> {
+    let (classes, limits) = (list(v, "classes")?, need(v, "limits")?);
+    let report = need(v, "load_report")?;
+    Ok(Sockets {
+        classes: classes.iter().map(|c| text(c, "name").map(str::to_owned)).collect::<Parsed<_>>()?,
+        deadlines: classes.iter().map(|c| whole(c, "deadline_ns")).collect::<Parsed<_>>()?,
+        zones: names(v, "zones")?,
+        kinds: names(v, "flavors")?,
+        fields: names(report, "fields")?,
+        dial: whole(limits, "dial_timeout_ns")?,
+        idle: whole(limits, "conn_idle_ns")?,
+        streams: small::<u32>(limits, "max_streams")?.max(1) as usize,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/core/attempts.rs
@@ -0,0 +1,171 @@
+//! Attempts: one out at a time for each request, from the module's word until the node or the connection has said how it
+//! ended.
+//!
+//! An attempt whose time is up is given up at the node, and the node is heard out for a short grace; only then does the
+//! module hear of it, so that no further attempt can be out beside it.
+
+use super::*;
+use pepperhook::Outcome;
+
+/// After a give-up the node is heard out so long: the way there and back, and its work in between.
+const GRACE: Time = 30 * MS;
+
+/// One attempt.
+pub struct Attempt {
+    pub life: LifeId,
+    pub number: u32,
+    pub link: LinkId,
+    /// The front end waits for it until then.
+    pub until: Time,
+    pub stage: Stage,
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its connection is not up yet: nothing was sent. So many dials were made for it.
+    Dialling(u8),
+    /// Sent.
+    Sent,
+    /// Given up; the node is heard out.
+    Closing,
+    /// Its connection broke; whether the node lives is being found out.
+    Torn,
+}
+
+impl Core {
+    pub(super) fn attempt(&self, id: SessionId) -> Option<&Attempt> {
+        match &self.sessions.get(&id)?.phase {
+            Phase::Open(attempt) => attempt.as_ref(),
+            Phase::Standing(..) => None,
+        }
+    }
+
+    pub(super) fn attempt_mut(&mut self, id: SessionId) -> Option<&mut Attempt> {
+        match &mut self.sessions.get_mut(&id)?.phase {
+            Phase::Open(attempt) => attempt.as_mut(),
+            Phase::Standing(..) => None,
+        }
+    }
+
+    pub(super) fn set_up(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        server: ServerId,
+        wait: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        let life = self.current.get(&server).copied().filter(|l| self.is_ready(*l));
+        let link = life.and_then(|life| self.link_for_set_up(now, life, out).map(|link| (life, link)));
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Phase::Open(attempt @ None) = &mut s.phase else { return };
+        let Some((life, link)) = link else {
+            return self.pending.push_back(ended(id, server, Outcome::Unsent, Vec::new()));
+        };
+        s.attempts += 1;
+        let (number, until) = (s.attempts, now.saturating_add(wait));
+        *attempt = Some(Attempt { life, number, link, until, stage: Stage::Dialling(1) });
+        self.at(until, Wake::AttemptTime(id, number));
+        if let Some(link) = self.links.get_mut(&link) {
+            link.open.insert(id);
+        }
+        self.write_set_up(now, id, out);
+    }
+
+    /// Writes a set-up once its connection is up. The node is looked at again, since dialling takes time.
+    pub(super) fn write_set_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(Attempt { life, link, until, stage: Stage::Dialling(_), .. }) = self.attempt(id) else {
+            return;
+        };
+        let (life, link, until) = (*life, *link, *until);
+        if !self.links.get(&link).is_some_and(|l| l.up) {
+            return;
+        }
+        if !self.is_ready(life) || until <= now {
+            return self.attempt_ended(id, Outcome::Unsent, Vec::new());
+        }
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let word = ToNode::SetUp {
+            id,
+            title: s.ask.wish.title.0,
+            class: s.ask.wish.class.0,
+            wait_ms: (until - now).div_ceil(MS),
+            rung: s.rung,
+            body: s.ask.body.clone(),
+        };
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.stage = Stage::Sent;
+        }
+        self.write(now, link, word, out);
+    }
+
+    /// Takes the attempt off its request and tells the module how it ended.
+    pub(super) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome, report: Vec<f64>) {
+        let Some(attempt) = self.take_attempt(id) else { return };
+        let Some(server) = self.lives.get(&attempt.life).map(|l| l.server) else { return };
+        self.pending.push_back(ended(id, server, outcome, report));
+    }
+
+    pub(super) fn take_attempt(&mut self, id: SessionId) -> Option<Attempt> {
+        let attempt = match &mut self.sessions.get_mut(&id)?.phase {
+            Phase::Open(attempt) => attempt.take()?,
+            Phase::Standing(..) => return None,
+        };
+        if let Some(link) = self.links.get_mut(&attempt.link) {
+            link.open.remove(&id);
+        }
+        Some(attempt)
+    }
+
+    /// Gives up whatever is out for a request, because nobody waits for it any more.
+    pub(super) fn give_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(attempt) = self.take_attempt(id) else { return };
+        let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
+        if attempt.stage == Stage::Sent {
+            self.write(now, attempt.link, ToNode::GiveUp(id, title), out);
+        }
+    }
+
+    pub(super) fn attempt_time(&mut self, now: Time, id: SessionId, number: u32, out: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempt(id).filter(|a| a.number == number) else { return };
+        let (link, life, stage) = (attempt.link, attempt.life, attempt.stage);
+        match stage {
+            Stage::Dialling(_) => self.attempt_ended(id, Outcome::ConnectFailed, Vec::new()),
+            Stage::Torn => self.attempt_ended(id, Outcome::LinkBroken, Vec::new()),
+            Stage::Closing => {}
+            Stage::Sent => {
+                let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
+                if let Some(attempt) = self.attempt_mut(id) {
+                    attempt.stage = Stage::Closing;
+                }
+                self.write(now, link, ToNode::GiveUp(id, title), out);
+                self.at(now + GRACE, Wake::AttemptClosed(id, number));
+                // A node that does not answer may be gone without a sign.
+                self.doubt_if_quiet(now, life, out);
+            }
+        }
+    }
+
+    pub(super) fn attempt_closed(&mut self, now: Time, id: SessionId, number: u32, out: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempt(id).filter(|a| a.number == number && a.stage == Stage::Closing)
+        else {
+            return;
+        };
+        let _ = (now, attempt, &out);
+        self.attempt_ended(id, Outcome::TimedOut, Vec::new());
+    }
+
+    /// The node's final word on an attempt.
+    pub(super) fn node_ended(&mut self, link: LinkId, id: SessionId, outcome: Outcome, report: Vec<f64>) {
+        let Some(attempt) = self.attempt(id).filter(|a| a.link == link) else { return };
+        if matches!(attempt.stage, Stage::Sent | Stage::Closing) {
+            self.attempt_ended(id, outcome, report);
+        }
+    }
+}
+
+/// The end of an attempt whose request goes on.
+pub fn ended(session: SessionId, server: ServerId, outcome: Outcome, report: Vec<f64>) -> Event {
+    Event::Ended { session, server, outcome, settled: false, report }
+}
--- /dev/null
+++ b/crates/platform/src/core/lives.rs
@@ -0,0 +1,300 @@
+//! What shows that a node lives, and what shows that it does not.
+//!
+//! A process that died refuses dials; a machine that vanished lets them run out, and says nothing on open connections. A
+//! broken connection alone shows neither, and a node that stalls still takes connections. So a sign of trouble only
+//! raises a doubt; the node is dialled, and the dial decides: a new connection ends the doubt, two refusals, or silence
+//! for [`SILENT`] with dials that run out, end the sessions that stand there.
+
+use super::attempts::Stage;
+use super::*;
+use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
+use pepperhook_changelog::{Entry, State};
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
+/// Refused dials in a row that show a dead process.
+const REFUSALS: u32 = 2;
+/// Between two dials of a node in doubt.
+const AGAIN: Time = 100 * MS;
+/// Dials that run out show a vanished machine after so long.
+const SILENT: Time = 2_500 * MS;
+/// A node with standing sessions that says nothing for so long is dialled.
+const QUIET: Time = 2_000 * MS;
+/// After a time-out a node is in doubt if it has said nothing for so long.
+const UNHEARD: Time = 500 * MS;
+/// Sessions that were released without their node's word and may stand there still, at most.
+const CUTS: usize = 512;
+
+/// One life of a node.
+pub struct Life {
+    pub server: ServerId,
+    pub address: SocketAddrV4,
+    started_ms: u64,
+    state: State,
+    /// Another life has taken the id or the list names it no more: it is not dialled again, since its address may be
+    /// another's.
+    past: bool,
+    /// Shown to be dead; a connection that comes up shows otherwise.
+    dead: bool,
+    pub links: BTreeSet<LinkId>,
+    pub standing: BTreeSet<SessionId>,
+    pub heard: Time,
+    doubt: Option<Doubt>,
+    /// Words that are due at the node if it comes back.
+    cuts: VecDeque<ToNode>,
+}
+
+struct Doubt {
+    since: Time,
+    refused: u32,
+    /// The next dial has its time already.
+    timed: bool,
+}
+
+impl Life {
+    pub fn may_dial(&self) -> bool {
+        !self.past
+    }
+}
+
+fn entry(e: &Entry) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(e.id),
+        zone: ZoneId(e.zone),
+        kind: pepperhook::KindId(e.kind),
+        cell: e.cell,
+        state: match e.state {
+            State::Ready => ServerState::Ready,
+            State::Draining => ServerState::Draining,
+            State::Gone => ServerState::Gone,
+        },
+        weight: e.weight,
+        started: Some(e.started_ms.saturating_mul(MS)).filter(|t| *t > 0),
+    }
+}
+
+impl Core {
+    pub(super) fn is_ready(&self, life: LifeId) -> bool {
+        self.lives.get(&life).is_some_and(|l| l.state == State::Ready && !l.past)
+    }
+
+    /// Takes in the list as it is now.
+    pub(super) fn nodes(&mut self, now: Time, entries: &[Entry], out: &mut Vec<Effect>) {
+        let listed: BTreeSet<u32> = entries.iter().map(|e| e.id).collect();
+        let gone: Vec<_> =
+            self.current.iter().filter(|(id, _)| !listed.contains(&id.0)).map(|(_, l)| *l).collect();
+        gone.into_iter().for_each(|life| self.pass(now, life, out));
+        for e in entries {
+            let known = self.current.get(&ServerId(e.id)).copied();
+            let same = known.filter(|l| self.lives.get(l).is_some_and(|l| l.address == e.address));
+            match (same, known) {
+                (Some(life), _) => self.relist(now, life, e, out),
+                (None, old) => {
+                    old.into_iter().for_each(|old| self.pass(now, old, out));
+                    self.begin(now, e);
+                }
+            }
+        }
+        self.pending.push_back(Event::ListFull(entries.iter().map(entry).collect()));
+    }
+
+    fn begin(&mut self, now: Time, e: &Entry) {
+        let life = LifeId(self.number());
+        self.current.insert(ServerId(e.id), life);
+        let new = Life {
+            server: ServerId(e.id),
+            address: e.address,
+            started_ms: e.started_ms,
+            state: e.state,
+            past: false,
+            dead: false,
+            links: BTreeSet::new(),
+            standing: BTreeSet::new(),
+            heard: now,
+            doubt: None,
+            cuts: VecDeque::new(),
+        };
+        self.lives.insert(life, new);
+    }
+
+    /// A node is listed where it was. Where it has started anew since, what is older than that start is over.
+    fn relist(&mut self, now: Time, life: LifeId, e: &Entry, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        l.state = e.state;
+        if l.started_ms >= e.started_ms {
+            return;
+        }
+        l.started_ms = e.started_ms;
+        let started = e.started_ms.saturating_mul(MS);
+        let (links, standing) = (l.links.clone(), l.standing.clone());
+        let older = |link: &LinkId| self.links.get(link).is_some_and(|l| l.opened < started);
+        let links: Vec<_> = links.into_iter().filter(older).collect();
+        for link in links {
+            self.end_link(link, out);
+        }
+        for id in standing {
+            if matches!(self.sessions.get(&id), Some(Session { phase: Phase::Standing(_, since), .. }) if *since < started)
+            {
+                self.over(now, id, Outcome::Broken, Vec::new(), out);
+            }
+        }
+    }
+
+    /// A life is past: its id stands for another address, or the list names it no more. Its connections tell when it
+    /// ends.
+    fn pass(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        (l.past, l.state, l.doubt) = (true, State::Gone, None);
+        let bare = l.links.is_empty();
+        self.current.remove(&l.server);
+        if bare {
+            self.bury(now, life, out);
+        }
+    }
+
+    /// Closes a connection to a process that is no more.
+    fn end_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
+        let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
+        for id in open {
+            let sent = self.attempt(id).is_some_and(|a| !matches!(a.stage, Stage::Dialling(_)));
+            self.attempt_ended(id, if sent { Outcome::Broken } else { Outcome::ConnectFailed }, Vec::new());
+        }
+        self.close_link(link, out);
+    }
+
+    /// Everything at a life is over.
+    fn bury(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        (l.dead, l.doubt) = (true, None);
+        let (links, standing) = (l.links.clone(), l.standing.clone());
+        let past = l.past;
+        self.end_torn(life, Outcome::Broken);
+        links.into_iter().for_each(|link| self.end_link(link, out));
+        for id in standing {
+            let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
+            if !past {
+                self.due_at(life, ToNode::Release(id, title, 41));
+            }
+            self.over(now, id, Outcome::Broken, Vec::new(), out);
+        }
+    }
+
+    fn due_at(&mut self, life: LifeId, word: ToNode) {
+        if let Some(l) = self.lives.get_mut(&life).filter(|l| l.cuts.len() < CUTS) {
+            l.cuts.push_back(word);
+        }
+    }
+
+    /// Words that no connection took: releases are due later, rungs are not.
+    pub(super) fn not_told(&mut self, now: Time, life: LifeId, words: Vec<ToNode>) {
+        let _ = now;
+        words.into_iter().filter(|w| matches!(w, ToNode::Release(..))).for_each(|w| self.due_at(life, w));
+    }
+
+    fn end_torn(&mut self, life: LifeId, outcome: Outcome) {
+        let torn = |s: &Session| matches!(&s.phase, Phase::Open(Some(a)) if a.life == life && a.stage == Stage::Torn);
+        let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| torn(s)).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.attempt_ended(id, outcome, Vec::new()));
+    }
+
+    /// A connection came up: the node lives.
+    pub(super) fn lives_on(&mut self, now: Time, life: LifeId, link: LinkId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        (l.heard, l.doubt, l.dead) = (now, None, false);
+        let cuts = std::mem::take(&mut l.cuts);
+        cuts.into_iter().for_each(|word| self.write(now, link, word, out));
+        self.end_torn(life, Outcome::LinkBroken);
+    }
+
+    /// A connection broke or ended.
+    pub(super) fn broke(&mut self, now: Time, life: LifeId, work: bool, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get(&life) else { return };
+        if l.past {
+            if l.links.is_empty() {
+                self.bury(now, life, out);
+            } else {
+                self.end_torn(life, Outcome::LinkBroken);
+            }
+        } else if work || !l.standing.is_empty() {
+            self.doubt(now, life, out);
+        }
+    }
+
+    fn doubt(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life).filter(|l| !l.past && !l.dead) else { return };
+        l.doubt.get_or_insert(Doubt { since: now, refused: 0, timed: false });
+        let dialling = l.links.clone().into_iter().any(|link| self.dials(link));
+        if !dialling && self.dial(now, life, out).is_none() {
+            self.doubt_later(now, life);
+        }
+    }
+
+    fn doubt_later(&mut self, now: Time, life: LifeId) {
+        if let Some(doubt) = self.lives.get_mut(&life).and_then(|l| l.doubt.as_mut()).filter(|d| !d.timed) {
+            doubt.timed = true;
+            self.at(now + AGAIN, Wake::Doubt(life));
+        }
+    }
+
+    pub(super) fn doubt_if_quiet(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        if self.lives.get(&life).is_some_and(|l| l.heard + UNHEARD < now) {
+            self.doubt(now, life, out);
+        }
+    }
+
+    pub(super) fn doubt_again(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(doubt) = self.lives.get_mut(&life).and_then(|l| l.doubt.as_mut()) else { return };
+        doubt.timed = false;
+        self.doubt(now, life, out);
+    }
+
+    /// A dial brought no connection.
+    pub(super) fn dial_ended(&mut self, now: Time, life: LifeId, how: DialEnd, out: &mut Vec<Effect>) {
+        let dial = self.sockets.dial;
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        if l.past {
+            if l.links.is_empty() {
+                self.bury(now, life, out);
+            }
+            return;
+        }
+        let up = l.links.iter().any(|link| self.links.get(link).is_some_and(|l| l.up));
+        let torn = self
+            .sessions
+            .values()
+            .any(|s| matches!(&s.phase, Phase::Open(Some(a)) if a.life == life && a.stage == Stage::Torn));
+        if l.dead || (l.standing.is_empty() && !torn) {
+            l.doubt = None;
+            return;
+        }
+        let since = if how == DialEnd::TimedOut { now.saturating_sub(dial) } else { now };
+        let doubt = l.doubt.get_or_insert(Doubt { since, refused: 0, timed: false });
+        if l.heard > doubt.since && how != DialEnd::Refused {
+            // It talks on another connection.
+            (doubt.since, doubt.refused) = (now, 0);
+        }
+        match how {
+            DialEnd::Refused => doubt.refused += 1,
+            DialEnd::TimedOut | DialEnd::Failed => {}
+        }
+        let dead =
+            (doubt.refused >= REFUSALS && !up) || (how == DialEnd::TimedOut && now - doubt.since >= SILENT);
+        if dead {
+            let (server, sessions) = (l.server.0, l.standing.len());
+            let line = format!("s-{server:08x} held to be dead: {how:?}, {sessions} sessions stood there");
+            out.push(Effect::Log("node-dead", line));
+            self.bury(now, life, out);
+        } else {
+            self.doubt_later(now, life);
+        }
+    }
+
+    pub(super) fn sweep_lives(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let quiet = |l: &Life| {
+            !l.past && !l.dead && !l.standing.is_empty() && (l.links.is_empty() || l.heard + QUIET < now)
+        };
+        let dial: Vec<_> = self.lives.iter().filter(|(_, l)| quiet(l)).map(|(id, _)| *id).collect();
+        dial.into_iter().for_each(|life| self.doubt(now, life, out));
+        self.lives.retain(|_, l| !(l.past && l.standing.is_empty() && l.links.is_empty()));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/mod.rs
@@ -0,0 +1,290 @@
+//! The core: one state machine around the decision module, without I/O.
+//!
+//! [`Input`]s go in with the time, [`Effect`]s come out. It decides nothing of placement, rungs, moves, repeats and
+//! refusals: that is the [`Controller`]'s. Its own are the accounts: one answer a request (`requests`), one attempt out
+//! at a time (`attempts`), connections to nodes (`links`), and what shows that a node lives (`lives`).
+
+mod attempts;
+mod links;
+mod lives;
+mod requests;
+mod standing;
+#[cfg(test)]
+mod tests;
+mod types;
+
+use links::Link;
+use lives::Life;
+use pepperhook::{Action, Controller, Event, ServerId, SessionId, Settings, SettingsError, Time};
+use pepperhook_parameters::Sockets;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::IpAddr;
+pub use types::*;
+
+/// One millisecond.
+const MS: Time = 1_000_000;
+/// Time between two looks at what grows old.
+const SWEEP: Time = 200 * MS;
+/// The core's own answer comes so long after the deadline at which the module gives its own.
+const BACKSTOP: Time = 2 * MS;
+/// Ids of requests and sessions that ended are remembered so long, so that what crosses their end is understood.
+const REMEMBERED: Time = 10_000 * MS;
+
+/// Bounds of what the core holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Requests without an answer.
+    pub open: usize,
+    /// Requests without an answer on one connection.
+    pub open_each: usize,
+    /// Requests and standing sessions together.
+    pub sessions: usize,
+    /// Connections to nodes.
+    pub links: usize,
+    /// Ended ids that are remembered.
+    pub remembered: usize,
+}
+
+impl Bounds {
+    /// Bounds that fit a limit on descriptors: viewers are left half of them.
+    #[must_use]
+    pub fn for_descriptors(descriptors: usize) -> Self {
+        Self {
+            open: 1_024,
+            open_each: 256,
+            sessions: 16_384,
+            links: (descriptors * 2 / 5).max(8),
+            remembered: 4_096,
+        }
+    }
+}
+
+/// What is due at some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Wake {
+    /// A timer of the module.
+    Module(u64),
+    /// The time of a session's attempt of this number is up.
+    AttemptTime(SessionId, u32),
+    /// The node was heard out long enough on a set-up that was given up.
+    AttemptClosed(SessionId, u32),
+    /// The last moment at which a request can be answered in time.
+    Backstop(SessionId),
+    /// A question for load has no answer.
+    ProbeTime(ProbeId),
+    /// A node in doubt is dialled again.
+    Doubt(LifeId),
+    /// A look at what grows old.
+    Sweep,
+}
+
+/// A request, and the session that comes of it.
+struct Session {
+    ask: Ask,
+    conn: ConnId,
+    peer: IpAddr,
+    rung: u8,
+    attempts: u32,
+    phase: Phase,
+}
+
+enum Phase {
+    /// Without an answer; the attempt that is out.
+    Open(Option<attempts::Attempt>),
+    /// It stands at a node since then.
+    Standing(LifeId, Time),
+}
+
+/// A viewer's connection.
+struct Conn {
+    peer: IpAddr,
+    /// It has carried a message that could be used.
+    good: bool,
+    open: BTreeSet<SessionId>,
+    /// Standing sessions that came on it.
+    carries: usize,
+}
+
+/// An ended id.
+struct Ended {
+    at: Time,
+    title: u64,
+    /// Its set-up was given up: a late answer to it is cut.
+    cut: bool,
+}
+
+/// The state machine of one front end.
+pub struct Core {
+    controller: Controller,
+    bounds: Bounds,
+    sockets: Sockets,
+    sessions: BTreeMap<SessionId, Session>,
+    open: usize,
+    conns: BTreeMap<ConnId, Conn>,
+    lives: BTreeMap<LifeId, Life>,
+    current: BTreeMap<ServerId, LifeId>,
+    links: BTreeMap<LinkId, Link>,
+    probes: BTreeMap<ProbeId, links::Probe>,
+    ended: BTreeMap<SessionId, Ended>,
+    ended_order: VecDeque<SessionId>,
+    /// Ends that no connection could take yet.
+    untold: VecDeque<standing::Untold>,
+    timers: BinaryHeap<Reverse<(Time, Wake)>>,
+    pending: VecDeque<Event>,
+    next: u64,
+}
+
+impl Core {
+    /// A core without nodes.
+    ///
+    /// # Errors
+    /// When the settings do not agree with one another.
+    pub fn new(
+        settings: Settings,
+        sockets: Sockets,
+        bounds: Bounds,
+        seed: u64,
+    ) -> Result<Self, SettingsError> {
+        Ok(Self {
+            controller: Controller::new(settings, seed)?,
+            bounds,
+            sockets,
+            sessions: BTreeMap::new(),
+            open: 0,
+            conns: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            current: BTreeMap::new(),
+            links: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            ended_order: VecDeque::new(),
+            untold: VecDeque::new(),
+            timers: BinaryHeap::from([Reverse((0, Wake::Sweep))]),
+            pending: VecDeque::new(),
+            // Numbers of two runs differ, so that nothing late of one is taken for the other's.
+            next: seed >> 16,
+        })
+    }
+
+    /// Takes in one input and appends what is to be done.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Opened(conn, peer) => {
+                let new = Conn { peer, good: false, open: BTreeSet::new(), carries: 0 };
+                self.conns.insert(conn, new);
+            }
+            Input::Ask(conn, ask) => self.ask(now, conn, ask, out),
+            Input::End(conn, id) => self.end(now, conn, id, out),
+            Input::Gone(conn) => self.gone(now, conn, out),
+            Input::Crowded => self.crowded(out),
+            Input::LinkUp(link) => self.link_up(now, link, out),
+            Input::LinkFailed(link, how) => self.link_failed(now, link, how, out),
+            Input::LinkDown(link) => self.link_down(now, link, out),
+            Input::Node(link, said) => self.node(now, link, said, out),
+            Input::Nodes(entries) => self.nodes(now, &entries, out),
+        }
+        self.run(now, out);
+    }
+
+    /// The moment of the next timer.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Time> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Runs what is due.
+    pub fn wake(&mut self, now: Time, out: &mut Vec<Effect>) {
+        while let Some(Reverse((at, wake))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            match wake {
+                Wake::Module(token) => self.pending.push_back(Event::Timer(token)),
+                Wake::AttemptTime(id, number) => self.attempt_time(now, id, number, out),
+                Wake::AttemptClosed(id, number) => self.attempt_closed(now, id, number, out),
+                Wake::Backstop(id) => self.backstop(now, id, out),
+                Wake::ProbeTime(id) => self.probe_time(now, id, out),
+                Wake::Doubt(life) => self.doubt_again(now, life, out),
+                Wake::Sweep => self.sweep(now, out),
+            }
+            self.run(now, out);
+        }
+    }
+
+    /// Requests without an answer.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Sessions that stand.
+    #[must_use]
+    pub fn standing(&self) -> usize {
+        self.sessions.len() - self.open
+    }
+
+    /// Connections to nodes, dialled ones included.
+    #[must_use]
+    pub fn links(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Hands the module what has happened, until nothing more follows.
+    fn run(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            self.controller.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::SetUp(id, server, wait) => self.set_up(now, id, server, wait, out),
+            Action::SetRung(id, rung) => self.set_rung(now, id, rung, out),
+            Action::Refuse(id, advice) => self.answer(now, id, |id| ToViewer::Refused(id, advice), out),
+            Action::Fail(id) => self.answer(now, id, ToViewer::Failed, out),
+            Action::Move(id) => self.shift(now, id, out),
+            Action::Probe(server) => self.probe(now, server, out),
+            // The platform's change log comes unasked.
+            Action::WatchList => {}
+            Action::SetTimer(after, token) => self.at(now.saturating_add(after), Wake::Module(token)),
+            Action::Log(line) => out.push(Effect::Log("decision", line)),
+        }
+    }
+
+    fn at(&mut self, at: Time, wake: Wake) {
+        self.timers.push(Reverse((at, wake)));
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next = self.next.wrapping_add(1);
+        self.next
+    }
+
+    fn sweep(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.at(now + SWEEP, Wake::Sweep);
+        self.sweep_links(now, out);
+        self.sweep_lives(now, out);
+        self.sweep_untold(now, out);
+        while self.ended_order.front().is_some_and(|id| {
+            self.ended_order.len() > self.bounds.remembered
+                || self.ended.get(id).is_none_or(|e| e.at + REMEMBERED < now)
+        }) {
+            if let Some(id) = self.ended_order.pop_front() {
+                self.ended.remove(&id);
+            }
+        }
+    }
+
+    /// Remembers an ended id.
+    fn remember(&mut self, now: Time, id: SessionId, title: u64, cut: bool) {
+        if self.ended.insert(id, Ended { at: now, title, cut }).is_none() {
+            self.ended_order.push_back(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/requests.rs
@@ -0,0 +1,153 @@
+//! Viewers' requests: taken, answered exactly once, given up.
+
+use super::*;
+use pepperhook::Outcome;
+
+impl Core {
+    pub(super) fn ask(&mut self, now: Time, conn: ConnId, ask: Ask, out: &mut Vec<Effect>) {
+        let id = ask.id;
+        let Some(from) = self.conns.get(&conn) else { return };
+        let peer = from.peer;
+        if ask.at.is_none() && (self.sessions.contains_key(&id) || self.ended.contains_key(&id)) {
+            return self.conflict(now, conn, id, out);
+        }
+        if let Some(server) = ask.at {
+            return self.under_way(now, conn, peer, ask, server, out);
+        }
+        let full = self.open >= self.bounds.open
+            || from.open.len() >= self.bounds.open_each
+            || self.sessions.len() >= self.bounds.sessions;
+        if full {
+            // Nothing was sent for it, so that a refusal is honest for every class.
+            return out.push(Effect::Tell(conn, ToViewer::Refused(id, None)));
+        }
+        let (wish, deadline) = (ask.wish, now.saturating_add(ask.wish.patience));
+        let new = Session { ask, conn, peer, rung: 0, attempts: 0, phase: Phase::Open(None) };
+        self.sessions.insert(id, new);
+        self.open += 1;
+        if let Some(from) = self.conns.get_mut(&conn) {
+            from.open.insert(id);
+        }
+        self.became_good(now, conn, out);
+        self.at(deadline.saturating_add(BACKSTOP), Wake::Backstop(id));
+        self.pending.push_back(Event::Request(id, wish));
+    }
+
+    /// A second request under a known id. Where both came on one connection the first is not served either: its
+    /// client could not tell the two answers apart.
+    fn conflict(&mut self, now: Time, conn: ConnId, id: SessionId, out: &mut Vec<Effect>) {
+        let open =
+            self.sessions.get(&id).is_some_and(|s| s.conn == conn && matches!(s.phase, Phase::Open(_)));
+        if open {
+            self.withdraw(now, id, out);
+        }
+        out.push(Effect::Tell(conn, ToViewer::Conflict(id)));
+        out.push(Effect::Hang(conn));
+    }
+
+    /// Takes an open request out of the accounts; its attempt is given up, the module forgets it.
+    fn withdraw(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        self.give_up(now, id, out);
+        if self.close_request(now, id).is_some() {
+            self.pending.push_back(Event::Left(id));
+        }
+    }
+
+    /// Takes an open request out of the accounts.
+    pub(super) fn close_request(&mut self, now: Time, id: SessionId) -> Option<Session> {
+        if !matches!(self.sessions.get(&id)?.phase, Phase::Open(_)) {
+            return None;
+        }
+        let s = self.sessions.remove(&id)?;
+        self.open -= 1;
+        if let Some(conn) = self.conns.get_mut(&s.conn) {
+            conn.open.remove(&id);
+        }
+        let cut = s.attempts > 0;
+        self.remember(now, id, s.ask.wish.title.0, cut);
+        Some(s)
+    }
+
+    /// The module's final answer.
+    pub(super) fn answer(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        word: impl FnOnce(SessionId) -> ToViewer,
+        out: &mut Vec<Effect>,
+    ) {
+        // With an attempt out the module does not answer; should it, nothing may be left running at a node.
+        self.give_up(now, id, out);
+        if let Some(s) = self.close_request(now, id) {
+            out.push(Effect::Tell(s.conn, word(id)));
+        }
+    }
+
+    /// Rule 1: whatever happened, the viewer has an answer before its time is up. Here it is a failure, since an
+    /// attempt may be out or may have run.
+    pub(super) fn backstop(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(Phase::Open(attempt)) = self.sessions.get(&id).map(|s| &s.phase) else { return };
+        let server = attempt.as_ref().and_then(|a| self.lives.get(&a.life)).map(|l| l.server);
+        self.give_up(now, id, out);
+        let Some(s) = self.close_request(now, id) else { return };
+        out.push(Effect::Tell(s.conn, ToViewer::Failed(id)));
+        self.pending.push_back(match server {
+            Some(server) => Event::Ended {
+                session: id,
+                server,
+                outcome: Outcome::TimedOut,
+                settled: true,
+                report: Vec::new(),
+            },
+            None => Event::Left(id),
+        });
+    }
+
+    /// A viewer gives a set-up up or ends a session; which of the two it meant does not matter, since its word may
+    /// cross the answer.
+    pub(super) fn end(&mut self, now: Time, conn: ConnId, id: SessionId, out: &mut Vec<Effect>) {
+        let heard = match self.sessions.get(&id).map(|s| &s.phase) {
+            Some(Phase::Open(_)) => {
+                self.withdraw(now, id, out);
+                true
+            }
+            Some(Phase::Standing(..)) => {
+                self.cut(now, id, out);
+                true
+            }
+            None => self.ended.contains_key(&id),
+        };
+        if heard {
+            self.became_good(now, conn, out);
+        }
+        out.push(Effect::Tell(conn, if heard { ToViewer::Heard(id) } else { ToViewer::Unknown(id) }));
+    }
+
+    /// A connection owns its open requests, never standing sessions.
+    pub(super) fn gone(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
+        let Some(gone) = self.conns.remove(&conn) else { return };
+        for id in gone.open {
+            self.withdraw(now, id, out);
+        }
+    }
+
+    /// A connection that carried a usable message may be told what waits for its viewer's side.
+    pub(super) fn became_good(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        if !std::mem::replace(&mut c.good, true) {
+            self.sweep_untold(now, out);
+        }
+    }
+
+    /// Makes room for another viewer's connection: one that never said anything goes first, else one that carries
+    /// nothing; the oldest of them.
+    pub(super) fn crowded(&mut self, out: &mut Vec<Effect>) {
+        let idle = |c: &Conn| c.open.is_empty() && c.carries == 0;
+        let silent = self.conns.iter().find(|(_, c)| !c.good && idle(c));
+        let victim = silent.or_else(|| self.conns.iter().find(|(_, c)| idle(c))).map(|(id, _)| *id);
+        if let Some(conn) = victim {
+            self.conns.remove(&conn);
+            out.push(Effect::Hang(conn));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/standing.rs
@@ -0,0 +1,230 @@
+//! Standing sessions: no connection owns them. Their end is taken from, and told on, any right connection.
+
+use super::*;
+use bytes::Bytes;
+use pepperhook::{NoteKind, Outcome};
+
+/// An end that no connection could take yet is kept so long; after that nobody waits for it.
+const KEPT: Time = 8_000 * MS;
+/// Causes of an end as they go to a viewer: played to its end, ended on purpose, cut.
+const ENDED: u16 = 16;
+const CANCELLED: u16 = 31;
+const CUT: u16 = 41;
+
+/// An end that waits for a connection of its viewer's side.
+pub struct Untold {
+    peer: IpAddr,
+    until: Time,
+    word: ToViewer,
+}
+
+impl Core {
+    /// A session that was under way at the start; one that is known already is left as it is.
+    pub(super) fn under_way(
+        &mut self,
+        now: Time,
+        conn: ConnId,
+        peer: IpAddr,
+        ask: Ask,
+        server: ServerId,
+        out: &mut Vec<Effect>,
+    ) {
+        let (id, wish) = (ask.id, ask.wish);
+        if self.sessions.contains_key(&id) {
+            return;
+        }
+        let Some(life) = self.current.get(&server).copied() else {
+            return out.push(Effect::Tell(conn, ToViewer::Unknown(id)));
+        };
+        if self.sessions.len() >= self.bounds.sessions {
+            return out.push(Effect::Tell(conn, ToViewer::Refused(id, None)));
+        }
+        let phase = Phase::Standing(life, now);
+        self.sessions.insert(id, Session { ask, conn, peer, rung: 0, attempts: 1, phase });
+        self.stands(life, conn, id);
+        self.became_good(now, conn, out);
+        self.pending.push_back(Event::UnderWay(id, wish, server));
+        // The node tells its end on any connection, so that there must be one.
+        if self.lives.get(&life).is_some_and(|l| l.links.is_empty()) {
+            self.dial(now, life, out);
+        }
+    }
+
+    fn stands(&mut self, life: LifeId, conn: ConnId, id: SessionId) {
+        if let Some(life) = self.lives.get_mut(&life) {
+            life.standing.insert(id);
+        }
+        if let Some(conn) = self.conns.get_mut(&conn) {
+            conn.carries += 1;
+        }
+    }
+
+    /// A node's answer that a session stands.
+    pub(super) fn plays(
+        &mut self,
+        now: Time,
+        link: LinkId,
+        id: SessionId,
+        body: Bytes,
+        out: &mut Vec<Effect>,
+    ) {
+        let attempt = self.attempt(id).filter(|a| a.link == link).map(|a| (a.stage, a.life));
+        match attempt {
+            Some((Stage::Sent, life)) => {
+                self.take_attempt(id);
+                let Some(s) = self.sessions.get_mut(&id) else { return };
+                s.phase = Phase::Standing(life, now);
+                self.open -= 1;
+                let conn = s.conn;
+                if let Some(conn) = self.conns.get_mut(&conn) {
+                    conn.open.remove(&id);
+                }
+                self.stands(life, conn, id);
+                out.push(Effect::Tell(conn, ToViewer::Plays(id, body)));
+                let Some(server) = self.lives.get(&life).map(|l| l.server) else { return };
+                self.pending.push_back(Event::Started(id, server));
+            }
+            // It crossed the give-up: it is cut at the node and reaches no viewer.
+            Some((Stage::Closing, _)) => {
+                let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
+                self.write(now, link, ToNode::Release(id, title, CANCELLED), out);
+                self.attempt_ended(id, Outcome::TimedOut, Vec::new());
+            }
+            // A second copy of an answer, or one under an unknown id, is passed over.
+            _ => {
+                let cut = self.ended.get(&id).filter(|e| e.cut).map(|e| e.title);
+                if let Some(title) = cut {
+                    self.write(now, link, ToNode::Release(id, title, CANCELLED), out);
+                }
+            }
+        }
+    }
+
+    /// A node's word that a session is over, or that a set-up broke.
+    pub(super) fn node_over(
+        &mut self,
+        now: Time,
+        link: LinkId,
+        id: SessionId,
+        outcome: Outcome,
+        report: Vec<f64>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.write(now, link, ToNode::Heard(id), out);
+        let life = self.links.get(&link).map(|l| l.life);
+        match self.sessions.get(&id).map(|s| &s.phase) {
+            Some(Phase::Standing(at, _)) if Some(*at) == life => self.over(now, id, outcome, report, out),
+            Some(Phase::Open(Some(a))) if Some(a.life) == life && a.stage != Stage::Torn => {
+                self.attempt_ended(id, Outcome::LinkBroken, report);
+            }
+            _ => {}
+        }
+    }
+
+    /// A standing session is over: it leaves the accounts, its viewer and the module are told.
+    pub(super) fn over(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        outcome: Outcome,
+        report: Vec<f64>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((s, server)) = self.take_standing(now, id) else { return };
+        let cause = match outcome {
+            Outcome::Served => Some(ENDED),
+            Outcome::Cancelled => None,
+            _ => Some(CUT),
+        };
+        if let Some(cause) = cause {
+            let word = ToViewer::Over(id, s.ask.wish.title.0, cause);
+            self.tell_end(now, s.conn, s.peer, word, out);
+        }
+        self.pending.push_back(Event::Ended { session: id, server, outcome, settled: true, report });
+    }
+
+    /// Ends a standing session for its viewer's sake, at its node too.
+    pub(super) fn cut(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(Phase::Standing(life, _)) = self.sessions.get(&id).map(|s| &s.phase) else { return };
+        let life = *life;
+        let Some((s, server)) = self.take_standing(now, id) else { return };
+        self.tell_node(now, life, ToNode::Release(id, s.ask.wish.title.0, CANCELLED), out);
+        let outcome = Outcome::Cancelled;
+        self.pending.push_back(Event::Ended {
+            session: id,
+            server,
+            outcome,
+            settled: true,
+            report: Vec::new(),
+        });
+    }
+
+    /// The module moves a session: the viewer is told to come again.
+    pub(super) fn shift(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&id).filter(|s| matches!(s.phase, Phase::Standing(..))) else {
+            return;
+        };
+        let (conn, peer, word) = (s.conn, s.peer, ToViewer::Move(id, s.ask.wish.title.0));
+        self.tell_end(now, conn, peer, word, out);
+        self.cut(now, id, out);
+    }
+
+    fn take_standing(&mut self, now: Time, id: SessionId) -> Option<(Session, ServerId)> {
+        let Phase::Standing(life, _) = self.sessions.get(&id)?.phase else { return None };
+        let s = self.sessions.remove(&id)?;
+        if let Some(conn) = self.conns.get_mut(&s.conn) {
+            conn.carries = conn.carries.saturating_sub(1);
+        }
+        self.remember(now, id, s.ask.wish.title.0, false);
+        let life = self.lives.get_mut(&life)?;
+        life.standing.remove(&id);
+        Some((s, life.server))
+    }
+
+    /// Tells a viewer's side on the connection of the set-up, else on another one from the same address, else as soon
+    /// as there is one.
+    fn tell_end(&mut self, now: Time, conn: ConnId, peer: IpAddr, word: ToViewer, out: &mut Vec<Effect>) {
+        match self.way_to(conn, peer) {
+            Some(conn) => out.push(Effect::Tell(conn, word)),
+            None if self.untold.len() < self.bounds.remembered => {
+                self.untold.push_back(Untold { peer, until: now + KEPT, word });
+            }
+            None => {}
+        }
+    }
+
+    fn way_to(&self, conn: ConnId, peer: IpAddr) -> Option<ConnId> {
+        let other = || self.conns.iter().rev().find(|(_, c)| c.good && c.peer == peer).map(|(id, _)| *id);
+        if self.conns.contains_key(&conn) { Some(conn) } else { other() }
+    }
+
+    pub(super) fn sweep_untold(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for _ in 0..self.untold.len() {
+            let Some(untold) = self.untold.pop_front().filter(|u| u.until > now) else { continue };
+            match self.way_to(ConnId(u64::MAX), untold.peer) {
+                Some(conn) => out.push(Effect::Tell(conn, untold.word)),
+                None => self.untold.push_back(untold),
+            }
+        }
+    }
+
+    pub(super) fn set_rung(&mut self, now: Time, id: SessionId, rung: u8, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.rung = rung;
+        if let Phase::Standing(life, _) = s.phase {
+            let title = s.ask.wish.title.0;
+            self.tell_node(now, life, ToNode::Rung(id, title, rung), out);
+        }
+    }
+
+    pub(super) fn note(&mut self, link: LinkId, id: SessionId, kind: NoteKind, value: f64) {
+        let Some(life) = self.links.get(&link).map(|l| l.life) else { return };
+        let Some(server) = self.lives.get(&life).map(|l| l.server) else { return };
+        if matches!(self.sessions.get(&id), Some(Session { phase: Phase::Standing(at, _), .. }) if *at == life)
+        {
+            self.pending.push_back(Event::Note(id, server, kind, value));
+        }
+    }
+}
+
+use super::attempts::Stage;
--- /dev/null
+++ b/crates/platform/src/core/types.rs
@@ -0,0 +1,160 @@
+//! What goes into the core and what comes out.
+
+use bytes::Bytes;
+use pepperhook::{NoteKind, Outcome, ServerId, SessionId, Time, Wish};
+use std::net::{IpAddr, SocketAddr};
+
+macro_rules! id {
+    ($(#[$doc:meta] $name:ident),* $(,)?) => {$(
+        #[$doc]
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+    )*};
+}
+
+id! {
+    /// A connection of a viewer.
+    ConnId,
+    /// A connection to a node.
+    LinkId,
+    /// One life of a node: an id, an address, a start. Nothing of one life counts for another.
+    LifeId,
+    /// A question for a node's load.
+    ProbeId,
+}
+
+/// A viewer's set-up, checked.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Its id.
+    pub id: SessionId,
+    /// What is wished.
+    pub wish: Wish,
+    /// The description, passed on unchanged.
+    pub body: Bytes,
+    /// It plays at this node already.
+    pub at: Option<ServerId>,
+}
+
+/// How a dial ended that brought no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialEnd {
+    /// Refused: no process listens there.
+    Refused,
+    /// Not up in time.
+    TimedOut,
+    /// It failed on this side, or was reset while it came up.
+    Failed,
+}
+
+/// What a node says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FromNode {
+    /// The session stands; the description of the answer.
+    Plays(SessionId, Bytes, Vec<f64>),
+    /// The set-up ended otherwise.
+    Ended(SessionId, Outcome, Vec<f64>),
+    /// A session that stands is over, or a set-up broke.
+    Over(SessionId, Outcome, Vec<f64>),
+    /// A give-up or a release was heard.
+    Heard(SessionId),
+    /// A note on a session.
+    Note(SessionId, NoteKind, f64),
+    /// The answer to a question for load; `None` if the test failed.
+    Load(ProbeId, Option<Vec<f64>>),
+    /// Something that needs no answer; it shows that the node lives.
+    Other,
+}
+
+/// What goes to a node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToNode {
+    /// A set-up.
+    SetUp {
+        /// Its id.
+        id: SessionId,
+        /// Title as asked for.
+        title: u64,
+        /// Index of the class.
+        class: u16,
+        /// The front end waits so long, milliseconds.
+        wait_ms: u64,
+        /// The rung.
+        rung: u8,
+        /// The viewer's description.
+        body: Bytes,
+    },
+    /// A set-up is given up.
+    GiveUp(SessionId, u64),
+    /// A session that stands is cut, with its title and cause.
+    Release(SessionId, u64, u16),
+    /// A new rung for a session that stands.
+    Rung(SessionId, u64, u8),
+    /// A question for its load.
+    AskLoad(ProbeId),
+    /// Its release was heard.
+    Heard(SessionId),
+}
+
+/// What goes to a viewer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToViewer {
+    /// The session stands, with the node's description.
+    Plays(SessionId, Bytes),
+    /// Refused, with advice when to come again.
+    Refused(SessionId, Option<Time>),
+    /// Failed.
+    Failed(SessionId),
+    /// The request cannot be taken: it is at odds with one that is open.
+    Conflict(SessionId),
+    /// The session is over, with its title and cause.
+    Over(SessionId, u64, u16),
+    /// The viewer is to come again for another node.
+    Move(SessionId, u64),
+    /// A give-up or a release was heard.
+    Heard(SessionId),
+    /// There is no such session.
+    Unknown(SessionId),
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A viewer's connection came, from this address.
+    Opened(ConnId, IpAddr),
+    /// A set-up came.
+    Ask(ConnId, Ask),
+    /// A viewer gives a set-up up or ends a session.
+    End(ConnId, SessionId),
+    /// A viewer's connection is gone.
+    Gone(ConnId),
+    /// There are as many viewers' connections as there may be.
+    Crowded,
+    /// A connection to a node is up.
+    LinkUp(LinkId),
+    /// A dial ended without a connection.
+    LinkFailed(LinkId, DialEnd),
+    /// A connection to a node broke or ended.
+    LinkDown(LinkId),
+    /// A node said something.
+    Node(LinkId, FromNode),
+    /// The list of nodes is this now.
+    Nodes(Vec<pepperhook_changelog::Entry>),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Tell a viewer.
+    Tell(ConnId, ToViewer),
+    /// Close a viewer's connection, in order.
+    Hang(ConnId),
+    /// Dial a node.
+    Dial(LinkId, SocketAddr),
+    /// Tell a node.
+    Write(LinkId, ToNode),
+    /// Close a connection to a node.
+    Close(LinkId),
+    /// A line for the log.
+    Log(&'static str, String),
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,20 @@
+//! The front end on the platform's protocol.
+//!
+//! - [`core`]: requests, attempts, standing sessions and evidence on nodes' lives, without I/O; what it does is decided
+//!   by `pepperhook`.
+//! - `viewer`, `node`: the faces, which turn RTSP into the core's values and back.
+//! - `shell`: sockets, the change log, signals, on tokio's current-thread runtime.
+//! - [`config`]: what the platform tells a front end at its start.
+//!
+//! Arrows go one way: faces and shell know the core, the core knows neither.
+
+pub mod config;
+pub mod core;
+mod follow;
+mod node;
+mod peer;
+mod shell;
+mod viewer;
+
+pub use config::Config;
+pub use shell::run;
--- /dev/null
+++ b/crates/platform/src/node.rs
@@ -0,0 +1,104 @@
+//! The face to nodes.
+
+use crate::core::{FromNode, ProbeId, ToNode};
+use crate::viewer::{ROOT, id, id_text};
+use pepperhook::{NoteKind, Outcome, SessionId};
+use pepperhook_parameters::Sockets;
+use pepperhook_rtsp::{Message, Start};
+
+/// A message that a node may not send; its connection is of no further use.
+#[derive(Debug)]
+pub struct Bad;
+
+/// Reads a message of a node.
+pub fn read(m: &Message, known: &Sockets) -> Result<FromNode, Bad> {
+    let session = m.field("Session").and_then(id);
+    let number = m.field("CSeq").unwrap_or("");
+    let report = || report(m.field("P-Load"), known);
+    match (&m.start, session) {
+        (Start::Response(100..=199), _) => Ok(FromNode::Other),
+        (Start::Response(status), Some(session)) => Ok(match (number, *status) {
+            ("1", 200) => FromNode::Plays(SessionId(session), m.body.clone(), report().unwrap_or_default()),
+            ("1", status) => {
+                FromNode::Ended(SessionId(session), outcome(status), report().unwrap_or_default())
+            }
+            ("2", _) => FromNode::Heard(SessionId(session)),
+            ("3", 200) => FromNode::Load(ProbeId(session), Some(report().ok_or(Bad)?)),
+            ("3", _) => FromNode::Load(ProbeId(session), None),
+            _ => FromNode::Other,
+        }),
+        (Start::Response(_), None) => Err(Bad),
+        (Start::Request(method, _), session) => match (method.as_str(), session) {
+            ("TEARDOWN", Some(session)) => {
+                Ok(FromNode::Over(SessionId(session), end(m.field("Reason")), report().unwrap_or_default()))
+            }
+            ("ANNOUNCE", Some(session)) => {
+                let kind = match m.field("Warning-Word") {
+                    Some("delivered") => NoteKind::Delivered,
+                    Some("rung") => NoteKind::Rung,
+                    Some("link") => NoteKind::LinkUse,
+                    Some("uplink") => NoteKind::UplinkUse,
+                    _ => return Ok(FromNode::Other),
+                };
+                let value = m.field("X-Value").and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+                Ok(value.map_or(FromNode::Other, |v| FromNode::Note(SessionId(session), kind, v)))
+            }
+            _ => Ok(FromNode::Other),
+        },
+    }
+}
+
+/// How a set-up ended by the status of its answer. What proves that it never ran: 453, full, and 454, never left.
+fn outcome(status: u16) -> Outcome {
+    match status {
+        453 => Outcome::Full,
+        454 => Outcome::Unsent,
+        504 => Outcome::LinkBroken,
+        _ => Outcome::Error,
+    }
+}
+
+/// How a session ended by the cause of its release.
+fn end(reason: Option<&str>) -> Outcome {
+    let cause = reason.and_then(|r| r.split(';').find_map(|p| p.trim().strip_prefix("cause=")));
+    match cause.map(str::trim) {
+        Some("16") => Outcome::Served,
+        Some("31") => Outcome::Cancelled,
+        _ => Outcome::Broken,
+    }
+}
+
+/// The values of a load report, in the order of the settings; one that is missing is no number.
+fn report(field: Option<&str>, known: &Sockets) -> Option<Vec<f64>> {
+    let given: Vec<(&str, &str)> = field?.split(';').filter_map(|p| p.split_once(':')).collect();
+    let value = |name: &String| {
+        let found = given.iter().find(|(n, _)| n.trim() == name);
+        found.and_then(|(_, v)| v.trim().parse::<f64>().ok()).unwrap_or(f64::NAN)
+    };
+    Some(known.fields.iter().map(value).collect())
+}
+
+/// What a node is told, as a message.
+pub fn write(word: &ToNode, known: &Sockets) -> Message {
+    let to = |method, title: &u64, number: u64, id: &SessionId| {
+        let uri = format!("{ROOT}{}", id_text(*title));
+        Message::request(method, uri).with("CSeq", number).with("Session", id_text(id.0))
+    };
+    match word {
+        ToNode::SetUp { id, title, class, wait_ms, rung, body } => {
+            let class = known.classes.get(usize::from(*class)).map_or("", String::as_str);
+            let m = to("SETUP", title, 1, id).with("Priority-Class", class);
+            m.with("Expires-Ms", wait_ms).with("X-Rung", rung).body(body.clone())
+        }
+        ToNode::GiveUp(id, title) => to("TEARDOWN", title, 2, id),
+        ToNode::Release(id, title, cause) => {
+            to("TEARDOWN", title, 2, id).with("Reason", format!("cause={cause}"))
+        }
+        ToNode::Rung(id, title, rung) => to("SET_PARAMETER", title, 4, id).with("X-Rung", rung),
+        ToNode::AskLoad(probe) => {
+            let m = Message::request("OPTIONS", format!("{ROOT}load"));
+            m.with("CSeq", 3).with("Session", id_text(probe.0))
+        }
+        ToNode::Heard(id) => Message::response(200).with("CSeq", 2).with("Session", id_text(id.0)),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/peer.rs
@@ -0,0 +1,180 @@
+//! One connection, a viewer's or a node's: bytes in through a decoder, bytes out through a bounded queue.
+
+use bytes::{Buf, BytesMut};
+use pepperhook_rtsp::{Decoder, Message};
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
+use std::ops::ControlFlow;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant};
+
+/// Bytes that wait to be written, at most; who does not read them loses the connection.
+const QUEUE: usize = 256 * 1024;
+/// Bytes read at a time.
+const PIECE: usize = 8 * 1024;
+/// Messages taken before others have their turn.
+const TURN: usize = 16;
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The other side ended or reset it.
+    Gone,
+    /// It was closed from here.
+    Closed,
+    /// What came was no message.
+    Noise,
+    /// A message that had begun did not become whole in time, or none came.
+    Slow,
+}
+
+/// The writing half, shared with whoever has something to say.
+pub struct Peer {
+    stream: TcpStream,
+    queue: RefCell<BytesMut>,
+    wake: Notify,
+    closing: Cell<bool>,
+    /// The queue ran over.
+    over: Cell<bool>,
+}
+
+/// How long a connection may say nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until its first whole message.
+    pub first: Option<Duration>,
+    /// From the first byte of a message to its last.
+    pub message: Duration,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            queue: RefCell::default(),
+            wake: Notify::new(),
+            closing: Cell::new(false),
+            over: Cell::new(false),
+        }
+    }
+
+    /// Writes at once what the socket takes, and keeps the rest.
+    pub fn send(&self, message: &Message) {
+        if self.closing.get() {
+            return;
+        }
+        let mut bytes = message.encode();
+        let mut queue = self.queue.borrow_mut();
+        if queue.is_empty() {
+            if let Ok(n) = self.stream.try_write(&bytes) {
+                bytes.advance(n);
+            }
+        }
+        if !bytes.is_empty() {
+            queue.extend_from_slice(&bytes);
+            if queue.len() > QUEUE {
+                self.over.set(true);
+            }
+            self.wake.notify_one();
+        }
+    }
+
+    /// Ends the connection once what was said is written.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Takes the stream back, to end it in order.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Writes what waits, as far as the socket takes it.
+    fn flush(&self) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        while !queue.is_empty() {
+            match self.stream.try_write(&queue) {
+                Ok(0) => return false,
+                Ok(n) => queue.advance(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads messages and writes what is said, until one side ends it. `each` breaks to end it from here.
+    pub async fn pump(&self, patience: Patience, mut each: impl FnMut(Message) -> ControlFlow<End>) -> End {
+        let mut decoder = Decoder::default();
+        let mut piece = vec![0u8; PIECE].into_boxed_slice();
+        let mut due = patience.first.map(|t| Instant::now() + t);
+        let mut heard = false;
+        loop {
+            let waits = !self.queue.borrow().is_empty();
+            if self.over.get() || (self.closing.get() && !waits) {
+                return End::Closed;
+            }
+            let time_up = async {
+                match due {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                ready = self.stream.writable(), if waits => {
+                    if ready.is_err() || !self.flush() {
+                        return End::Gone;
+                    }
+                }
+                () = self.wake.notified() => {
+                    if self.closing.get() {
+                        // A peer that does not read cannot hold the end up.
+                        due = Some(Instant::now() + patience.message);
+                    }
+                }
+                ready = self.stream.readable() => {
+                    if ready.is_err() {
+                        return End::Gone;
+                    }
+                    let n = match self.stream.try_read(&mut piece) {
+                        Ok(0) => return End::Gone,
+                        Ok(n) => n,
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                        Err(_) => return End::Gone,
+                    };
+                    if self.closing.get() {
+                        continue;
+                    }
+                    decoder.feed(&piece[..n]);
+                    let mut taken = 0;
+                    loop {
+                        match decoder.next() {
+                            Ok(Some(message)) => {
+                                heard = true;
+                                if let ControlFlow::Break(end) = each(message) {
+                                    return end;
+                                }
+                            }
+                            Ok(None) => break,
+                            Err(_) => return End::Noise,
+                        }
+                        taken += 1;
+                        if taken % TURN == 0 {
+                            tokio::task::yield_now().await;
+                        }
+                    }
+                    due = match (decoder.is_within(), due) {
+                        (true, Some(at)) if !heard => Some(at),
+                        (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
+                        (false, _) if heard => None,
+                        (false, at) => at,
+                    };
+                }
+                () = time_up => return End::Slow,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/shell.rs
@@ -0,0 +1,330 @@
+//! Carries out what the core says: sockets, timers, the change log, signals. It decides nothing.
+
+use crate::config::Config;
+use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
+use crate::peer::{End, Patience, Peer};
+use crate::viewer::{self, FromViewer};
+use crate::{follow, node};
+use pepperhook_changelog::{Applied, Event, List};
+use pepperhook_net::Clock;
+use pepperhook_parameters::Sockets;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// A viewer's connection says something whole within this time, and ends a message that it has begun.
+const FIRST_WORD: Duration = Duration::from_millis(2_000);
+/// A message that has begun is whole within this time.
+const WHOLE: Duration = Duration::from_millis(1_500);
+/// Messages that cannot be used, on one connection, before it is closed.
+const BAD_WORDS: u32 = 4;
+/// After SIGTERM the front serves on for as long as new requests may come, and for the longest deadline beyond.
+const STILL_COMING: Duration = Duration::from_millis(900);
+/// Warnings of one kind come once in so long.
+const WARN_EACH: Duration = Duration::from_secs(5);
+
+/// One running front.
+pub struct Shell {
+    clock: Clock,
+    sockets: Sockets,
+    cells: u32,
+    core: RefCell<Core>,
+    list: RefCell<List>,
+    log: Cell<SocketAddr>,
+    /// The change log has another address.
+    pub log_moved: Notify,
+    viewers: RefCell<HashMap<ConnId, Rc<Peer>>>,
+    nodes: RefCell<HashMap<LinkId, Rc<Peer>>>,
+    most_viewers: usize,
+    next: Cell<u64>,
+    warned: RefCell<HashMap<&'static str, Instant>>,
+    wake: Notify,
+}
+
+impl Shell {
+    /// Hands the core an input and carries out what it answers.
+    fn drive(self: &Rc<Self>, input: Input) {
+        let mut out = Vec::new();
+        self.core.borrow_mut().handle(self.clock.now(), input, &mut out);
+        self.carry_out(out);
+    }
+
+    fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Tell(conn, word) => {
+                    if let Some(peer) = self.viewers.borrow().get(&conn) {
+                        peer.send(&viewer::write(&word));
+                    }
+                }
+                Effect::Hang(conn) => {
+                    if let Some(peer) = self.viewers.borrow().get(&conn) {
+                        peer.close();
+                    }
+                }
+                Effect::Dial(link, address) => {
+                    spawn_local(self.clone().link(link, address));
+                }
+                Effect::Write(link, word) => {
+                    if let Some(peer) = self.nodes.borrow().get(&link) {
+                        peer.send(&node::write(&word, &self.sockets));
+                    }
+                }
+                Effect::Close(link) => {
+                    if let Some(peer) = self.nodes.borrow_mut().remove(&link) {
+                        peer.close();
+                    }
+                }
+                Effect::Log(kind, line) => {
+                    if self.may_warn(kind) {
+                        info!(event = kind, "{line}");
+                    }
+                }
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    /// Lines that one cause could repeat come once in a while.
+    pub fn may_warn(&self, kind: &'static str) -> bool {
+        let mut warned = self.warned.borrow_mut();
+        let due = warned.get(kind).is_none_or(|at| at.elapsed() >= WARN_EACH);
+        if due {
+            warned.insert(kind, Instant::now());
+        }
+        due
+    }
+
+    // ---- the change log ------------------------------------------------------------------------
+
+    /// The number of the last event taken.
+    pub fn last_event(&self) -> u64 {
+        self.list.borrow().last()
+    }
+
+    /// Where the change log listens.
+    pub fn log_address(&self) -> SocketAddr {
+        self.log.get()
+    }
+
+    /// Whether the change log has told more than was taken.
+    pub fn is_behind(&self, number: u64) -> bool {
+        self.list.borrow().is_behind(number)
+    }
+
+    /// Takes an event of the change log.
+    pub fn told(self: &Rc<Self>, event: &Event) -> Applied {
+        let applied = self.list.borrow_mut().apply(event);
+        if applied == Applied::New {
+            self.take_list();
+        }
+        applied
+    }
+
+    fn take_list(self: &Rc<Self>) {
+        let entries = self.list.borrow().nodes().values().copied().collect();
+        self.drive(Input::Nodes(entries));
+    }
+
+    // ---- connections ---------------------------------------------------------------------------
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let (stream, peer) = pepperhook_net::accept(&listener).await;
+            if self.viewers.borrow().len() >= self.most_viewers {
+                self.drive(Input::Crowded);
+                if self.may_warn("crowded") {
+                    warn!(
+                        event = "crowded",
+                        most = self.most_viewers,
+                        "a viewer's connection was closed for another"
+                    );
+                }
+                if self.viewers.borrow().len() >= self.most_viewers * 9 / 8 {
+                    continue;
+                }
+            }
+            let id = ConnId(self.next.replace(self.next.get() + 1));
+            spawn_local(self.clone().viewer(id, stream, peer));
+        }
+    }
+
+    /// A viewer's connection to its end.
+    async fn viewer(self: Rc<Self>, id: ConnId, stream: TcpStream, from: SocketAddr) {
+        let peer = Rc::new(Peer::new(stream));
+        self.viewers.borrow_mut().insert(id, peer.clone());
+        self.drive(Input::Opened(id, from.ip()));
+        let mut bad = 0;
+        let patience = Patience { first: Some(FIRST_WORD), message: WHOLE };
+        let end = peer
+            .pump(patience, |m| {
+                match viewer::read(&m, &self.sockets, self.cells, true) {
+                    Ok(FromViewer::Ask(ask)) => self.drive(Input::Ask(id, *ask)),
+                    Ok(FromViewer::End(session)) => self.drive(Input::End(id, session)),
+                    Ok(FromViewer::Test(answer)) => peer.send(&answer),
+                    Ok(FromViewer::Nothing) => {}
+                    Err(viewer::Bad(answer)) => {
+                        peer.send(&answer);
+                        bad += 1;
+                        if bad >= BAD_WORDS {
+                            return ControlFlow::Break(End::Noise);
+                        }
+                    }
+                }
+                ControlFlow::Continue(())
+            })
+            .await;
+        self.viewers.borrow_mut().remove(&id);
+        self.drive(Input::Gone(id));
+        if matches!(end, End::Noise | End::Slow | End::Closed) {
+            if end == End::Noise {
+                peer.send(&pepperhook_rtsp::Message::response(400));
+            }
+            if let Ok(peer) = Rc::try_unwrap(peer).map_err(|_| ()) {
+                pepperhook_net::linger(&mut peer.into_stream(), 0).await;
+            }
+        }
+    }
+
+    /// A connection to a node from its dial to its end.
+    async fn link(self: Rc<Self>, id: LinkId, address: SocketAddr) {
+        let dial = Duration::from_nanos(self.sockets.dial);
+        let stream = match tokio::time::timeout(dial, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return self.drive(Input::LinkFailed(id, DialEnd::Refused));
+            }
+            Ok(Err(e)) => {
+                if self.may_warn("dial") {
+                    warn!(event = "dial-failed", %address, "{e}");
+                }
+                return self.drive(Input::LinkFailed(id, DialEnd::Failed));
+            }
+            Err(_) => return self.drive(Input::LinkFailed(id, DialEnd::TimedOut)),
+        };
+        let _ = stream.set_nodelay(true);
+        let peer = Rc::new(Peer::new(stream));
+        self.nodes.borrow_mut().insert(id, peer.clone());
+        self.drive(Input::LinkUp(id));
+        let patience = Patience { first: None, message: WHOLE };
+        let end = peer
+            .pump(patience, |m| match node::read(&m, &self.sockets) {
+                Ok(said) => {
+                    self.drive(Input::Node(id, said));
+                    ControlFlow::Continue(())
+                }
+                Err(node::Bad) => ControlFlow::Break(End::Noise),
+            })
+            .await;
+        if matches!(end, End::Noise | End::Slow) && self.may_warn("noise") {
+            warn!(event = "node-noise", %address, ?end, "a node's connection was closed");
+        }
+        self.nodes.borrow_mut().remove(&id);
+        // The socket is closed before the core hears of it: what was open on it is given up by that.
+        drop(peer);
+        self.drive(Input::LinkDown(id));
+    }
+
+    /// Runs the core's timers.
+    async fn timers(self: Rc<Self>) {
+        loop {
+            let next = self.core.borrow().next_wake();
+            let sleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {
+                    let mut out = Vec::new();
+                    self.core.borrow_mut().wake(self.clock.now(), &mut out);
+                    self.carry_out(out);
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Takes what may change of the configuration while the front runs: where the change log is.
+    fn reload(&self, path: &Path) {
+        match Config::load(path) {
+            Ok(config) => {
+                info!(event = "config-taken", changelog = %config.changelog, "the configuration was read again");
+                if self.log.replace(config.changelog) != config.changelog {
+                    self.log_moved.notify_one();
+                }
+            }
+            Err(e) => warn!(event = "config-kept", "{e}"),
+        }
+    }
+}
+
+/// Runs a front until SIGTERM or SIGINT, within a `LocalSet`.
+///
+/// # Errors
+/// When its address cannot be listened on, its module does not take the settings, or signals cannot be had.
+pub async fn run(config: Config, path: PathBuf) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let bounds = Bounds::for_descriptors(config.descriptors);
+    let invalid = |e| io::Error::new(io::ErrorKind::InvalidInput, e);
+    let core =
+        Core::new(config.settings.clone(), config.sockets.clone(), bounds, config.seed).map_err(invalid)?;
+    let longest = Duration::from_nanos(config.sockets.deadlines.iter().copied().max().unwrap_or(0));
+    let shell = Rc::new(Shell {
+        clock: Clock::new(),
+        cells: config.settings.cells,
+        sockets: config.sockets,
+        core: RefCell::new(core),
+        list: RefCell::new(config.list),
+        log: Cell::new(config.changelog),
+        log_moved: Notify::new(),
+        viewers: RefCell::default(),
+        nodes: RefCell::default(),
+        most_viewers: config.descriptors / 2,
+        next: Cell::new(1),
+        warned: RefCell::default(),
+        wake: Notify::new(),
+    });
+    shell.take_list();
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|e| io::Error::new(e.kind(), format!("'listen' {}: {e}", config.listen)))?;
+    info!(event = "listening", address = %config.listen, nodes = shell.list.borrow().nodes().len(), "ready");
+    let tasks = [
+        spawn_local(shell.clone().accept(listener)),
+        spawn_local(shell.clone().timers()),
+        spawn_local(follow::follow(shell.clone())),
+    ];
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => shell.reload(&path),
+        }
+    }
+    info!(event = "stopping", open = shell.core.borrow().open(), standing = shell.core.borrow().standing());
+    tokio::time::sleep(STILL_COMING).await;
+    let idle = async {
+        while shell.core.borrow().open() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = tokio::time::timeout(longest, idle).await;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    info!(event = "stopped", "the front has stopped");
+    Ok(())
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -322,8 +322,10 @@
     TimedOut,
     /// No connection.
     ConnectFailed,
-    /// The connection broke.
+    /// The connection broke, and with it the server.
     Broken,
+    /// The connection alone broke; the server lives.
+    LinkBroken,
     /// Called off, moved, or left by the viewer.
     Cancelled,
     /// Never sent.
