A dead node is found although one of its connections still seems to be up

Checked with each message in the log: at 60.18 s the node's connection was reset and dials were refused, eight times until the list dropped it; nothing was told since another connection to it, idle since 55 s, still seemed up, and once the node was listed no more that connection alone counted. Ruled out: the list (drain and removal came in order) and the viewers' connections. At fault: Core::dial_ended ('!up') and Core::pass, which left an unlisted node to its connections. Now a connection speaks for its node only by what came on it since the doubt began, and an unlisted node is asked and buried if it says nothing.

--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -2,8 +2,12 @@
 //!
 //! A process that died refuses dials; a machine that vanished lets them run out, and says nothing on open connections. A
 //! broken connection alone shows neither, and a node that stalls still takes connections. So a sign of trouble only
-//! raises a doubt; the node is dialled, and the dial decides: a new connection ends the doubt, two refusals, or silence
-//! for [`SILENT`] with dials that run out, end the sessions that stand there.
+//! raises a doubt; the node is dialled, and the dial decides: a new connection ends the doubt; two refusals, or silence
+//! for [`SILENT`] with dials that run out, end the sessions that stand there. A connection that is still up speaks for
+//! the node only if something came on it since the doubt began.
+//!
+//! A node that the list names no more is not dialled, since its address may be another's: it is asked on the connections
+//! that are still up, and if nothing comes, its sessions are over.
 
 use super::attempts::Stage;
 use super::*;
@@ -14,6 +18,10 @@
 
 /// Refused dials in a row that show a dead process.
 const REFUSALS: u32 = 2;
+/// So many while a connection to it is still up: a node that holds as many connections as it takes refuses too.
+const REFUSALS_UP: u32 = 5;
+/// A node that is listed no more has so long to answer.
+const LAST_WORD: Time = 800 * MS;
 /// Between two dials of a node in doubt.
 const AGAIN: Time = 100 * MS;
 /// Dials that run out show a vanished machine after so long.
@@ -34,6 +42,8 @@
     /// Another life has taken the id or the list names it no more: it is not dialled again, since its address may be
     /// another's.
     past: bool,
+    /// When it was asked last, listed no more.
+    asked: Option<Time>,
     /// Shown to be dead; a connection that comes up shows otherwise.
     dead: bool,
     pub links: BTreeSet<LinkId>,
@@ -107,6 +117,7 @@
             started_ms: e.started_ms,
             state: e.state,
             past: false,
+            asked: None,
             dead: false,
             links: BTreeSet::new(),
             standing: BTreeSet::new(),
@@ -269,7 +280,7 @@
         }
         let since = if how == DialEnd::TimedOut { now.saturating_sub(dial) } else { now };
         let doubt = l.doubt.get_or_insert(Doubt { since, refused: 0, timed: false });
-        if l.heard > doubt.since && how != DialEnd::Refused {
+        if l.heard > doubt.since {
             // It talks on another connection.
             (doubt.since, doubt.refused) = (now, 0);
         }
@@ -277,8 +288,8 @@
             DialEnd::Refused => doubt.refused += 1,
             DialEnd::TimedOut | DialEnd::Failed => {}
         }
-        let dead =
-            (doubt.refused >= REFUSALS && !up) || (how == DialEnd::TimedOut && now - doubt.since >= SILENT);
+        let refused = doubt.refused >= if up { REFUSALS_UP } else { REFUSALS };
+        let dead = refused || (how == DialEnd::TimedOut && now - doubt.since >= SILENT);
         if dead {
             let (server, sessions) = (l.server.0, l.standing.len());
             let line = format!("s-{server:08x} held to be dead: {how:?}, {sessions} sessions stood there");
@@ -289,12 +300,29 @@
         }
     }
 
+    /// Asks a node that is listed no more whether it is still there, and ends what stands there if it says nothing.
+    fn ask_past(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        match l.asked {
+            Some(at) if at + LAST_WORD > now => return,
+            Some(at) if l.heard < at => return self.bury(now, life, out),
+            _ => l.asked = Some(now),
+        }
+        for link in l.links.clone() {
+            let question = ProbeId(self.number());
+            self.write(now, link, ToNode::AskLoad(question), out);
+        }
+    }
+
     pub(super) fn sweep_lives(&mut self, now: Time, out: &mut Vec<Effect>) {
         let quiet = |l: &Life| {
             !l.past && !l.dead && !l.standing.is_empty() && (l.links.is_empty() || l.heard + QUIET < now)
         };
         let dial: Vec<_> = self.lives.iter().filter(|(_, l)| quiet(l)).map(|(id, _)| *id).collect();
         dial.into_iter().for_each(|life| self.doubt(now, life, out));
+        let past = |l: &Life| l.past && !l.standing.is_empty();
+        let past: Vec<_> = self.lives.iter().filter(|(_, l)| past(l)).map(|(id, _)| *id).collect();
+        past.into_iter().for_each(|life| self.ask_past(now, life, out));
         self.lives.retain(|_, l| !(l.past && l.standing.is_empty() && l.links.is_empty()));
     }
 }
