--- a/crates/changelog/src/lib.rs
+++ b/crates/changelog/src/lib.rs
@@ -97,7 +97,7 @@
     ///
     /// # Errors
     /// When the bytes are no frame.
-    pub fn next(&mut self) -> Result<Option<Frame>, Fault> {
+    pub fn decode(&mut self) -> Result<Option<Frame>, Fault> {
         let Some(length) = self.0.first_chunk::<4>() else { return Ok(None) };
         let length = u32::from_be_bytes(*length) as usize;
         let records = length.checked_sub(HEAD).ok_or(Fault::Length)?;
--- a/crates/changelog/src/tests.rs
+++ b/crates/changelog/src/tests.rs
@@ -33,7 +33,7 @@
     let (mut decoder, mut out) = (Decoder::default(), Vec::new());
     for piece in pieces {
         decoder.feed(piece);
-        while let Some(f) = decoder.next()? {
+        while let Some(f) = decoder.decode()? {
             out.push(f);
         }
     }
--- /dev/null
+++ b/crates/cli/tests/platform.rs
@@ -0,0 +1,449 @@
+//! `pepperhook platform` as a process on loopback: scripted nodes, viewers and a change log that share no code with it.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::spawn;
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A message as it passes: its head, and its body.
+#[derive(Debug)]
+struct Raw {
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Raw {
+    fn field(&self, name: &str) -> Option<&str> {
+        let of = |l: &'_ str| l.split_once(": ").map(|(n, v)| (n.to_owned(), v.len()));
+        let line = self.head.lines().find(|l| of(l).is_some_and(|(n, _)| n.eq_ignore_ascii_case(name)))?;
+        line.split_once(": ").map(|(_, v)| v)
+    }
+}
+
+fn read(stream: &mut TcpStream) -> std::io::Result<Raw> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).and_then(|l| l.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body)?;
+    Ok(Raw { head, body })
+}
+
+fn message(first: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = format!("{first}\r\n");
+    fields.iter().for_each(|(n, v)| out += &format!("{n}: {v}\r\n"));
+    out += &format!("Content-Length: {}\r\n\r\n", body.len());
+    [out.as_bytes(), body].concat()
+}
+
+const EXTRAS: &str = "home:0;copies:2;top:4;viewer:00000000000000aa";
+
+fn set_up(id: &str) -> Vec<u8> {
+    let fields = [
+        ("CSeq", "1"),
+        ("Session", id),
+        ("Priority-Class", "lesson"),
+        ("Expires-Ms", "1500"),
+        ("X-Length", "8200.0"),
+        ("P-Trunk-Info", EXTRAS),
+    ];
+    message("SETUP rtsp://media/00000000000000f1 RTSP/1.0", &fields, b"an offer\r\n")
+}
+
+/// What a scripted node does with a set-up.
+type Script = fn(&mut TcpStream, &Raw);
+
+fn answer(stream: &mut TcpStream, m: &Raw) {
+    let session = m.field("Session").unwrap_or("").to_owned();
+    if m.head.starts_with("OPTIONS") {
+        let fields = [("CSeq", "3"), ("Session", session.as_str()), ("P-Load", "x0:0.1;x1:0.1")];
+        let _ = stream.write_all(&message("RTSP/1.0 200 OK", &fields, b""));
+    } else if m.head.starts_with("SETUP") {
+        let fields = [("CSeq", "1"), ("Session", session.as_str())];
+        let _ = stream.write_all(&message("RTSP/1.0 200 OK", &fields, b"an answer\r\n"));
+    }
+}
+
+/// A node: what it was sent, and a way to see its address.
+fn scripted(script: Script) -> (SocketAddr, Receiver<Raw>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), tell) = (stream, tell.clone()) else { return };
+            spawn(move || {
+                while let Ok(m) = read(&mut stream) {
+                    script(&mut stream, &m);
+                    if tell.send(m).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+/// A change log that never has anything new and counts who asks; it hands out `frames` once.
+fn change_log(frames: Vec<u8>) -> (SocketAddr, Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), frames, tell) = (stream, frames.clone(), tell.clone()) else { return };
+            spawn(move || {
+                let mut last = [0; 8];
+                if stream.read_exact(&mut last).is_ok() && tell.send(u64::from_be_bytes(last)).is_ok() {
+                    let _ = stream.write_all(&frames);
+                    // Until the front goes.
+                    let _ = stream.read(&mut last);
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+fn config(nodes: &[SocketAddr], log: SocketAddr) -> Value {
+    let servers: Vec<_> = nodes
+        .iter()
+        .enumerate()
+        .map(|(i, a)| {
+            json!({"id": format!("s-{i:08x}"), "addr": a.to_string(), "zone": "z", "kind": "k", "cell": i,
+                   "state": "up", "weight": 1, "started_ms": 0})
+        })
+        .collect();
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"seq": 3, "results": [{"seq": 3, "fleet": {"version": 1, "full": true, "servers": servers}}]},
+        "settings": {
+            "n_instances": 1, "az": 0, "zones": ["z"], "flavors": ["k"],
+            "classes": [{"name": "lesson", "idempotency": "at_most_once", "aim_ns": 800_000_000u64,
+                         "deadline_ns": 3_000_000_000u64, "value": 1.0}],
+            "limits": {"max_attempts": 3, "dial_timeout_ns": 250_000_000, "conn_idle_ns": 15_000_000_000u64,
+                       "max_streams": 100, "probes": true},
+            "load_report": {"fields": ["x0", "x1"]},
+            "rules": {"cold_ns": 12_000_000_000u64, "fall_multiple": 2.5, "fall_ns": 2_000_000_000u64,
+                      "start_capacity": 0.4},
+            "specifics": {"groups": 1, "positions": 2, "highest_rung": [1], "lowest_rung": [0], "seats": [0],
+                          "scale_by_class": [1.0], "rung_kb": [200.0, 400.0], "ladder_worth": [0.4, 1.0],
+                          "kind_slots": [200], "uplink_kb": 900_000.0, "all_links_kb": 900_000.0,
+                          "kb_per_weight": 400_000.0},
+        },
+    })
+}
+
+/// A running front end, ended with the test.
+struct Front {
+    child: Child,
+    address: SocketAddr,
+    lines: Receiver<String>,
+    file: tempfile::NamedTempFile,
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn front(config: &Value) -> Front {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), config.to_string()).expect("writes");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
+        .args(["platform", "--config"])
+        .arg(file.path())
+        .env_remove("BALANCER_NAME")
+        .env_remove("BALANCER_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let (tell, lines) = channel();
+    let stderr = child.stderr.take().expect("piped");
+    spawn(move || {
+        BufReader::new(stderr).lines().map_while(Result::ok).try_for_each(|l| tell.send(plain(&l)))
+    });
+    let ready = wait(&lines, "listening");
+    let address =
+        ready.split("address=").nth(1).and_then(|a| a.split(' ').next()).and_then(|a| a.parse().ok());
+    Front { child, address: address.expect("an address"), lines, file }
+}
+
+/// A line without its colours.
+fn plain(line: &str) -> String {
+    let mut out = String::new();
+    let mut rest = line;
+    while let Some((before, after)) = rest.split_once('\x1b') {
+        out += before;
+        rest = after.split_once('m').map_or("", |(_, r)| r);
+    }
+    out + rest
+}
+
+fn wait(lines: &Receiver<String>, what: &str) -> String {
+    let until = Instant::now() + 10 * SECOND;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = lines.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {what:?}"));
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+impl Front {
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("connects");
+        stream.set_read_timeout(Some(5 * SECOND)).expect("a time");
+        stream
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        nix::sys::signal::kill(pid, name.parse::<nix::sys::signal::Signal>().expect("a signal"))
+            .expect("sent");
+    }
+
+    /// Asks on a connection of its own; the answer's first line.
+    fn asks(&self, id: &str) -> Raw {
+        let mut stream = self.connect();
+        stream.write_all(&set_up(id)).expect("writes");
+        read(&mut stream).expect("an answer")
+    }
+}
+
+#[test]
+fn a_session_is_set_up_at_a_node_and_its_end_is_told() {
+    let (address, told) = scripted(|stream, m| {
+        answer(stream, m);
+        if m.head.starts_with("SETUP") {
+            let session = m.field("Session").unwrap_or("").to_owned();
+            let fields = [("CSeq", "2"), ("Session", session.as_str()), ("Reason", "cause=16")];
+            let _ =
+                stream.write_all(&message("TEARDOWN rtsp://media/00000000000000f1 RTSP/1.0", &fields, b""));
+        }
+    });
+    let (log, asked) = change_log(Vec::new());
+    let front = front(&config(&[address], log));
+    assert_eq!(asked.recv_timeout(5 * SECOND), Ok(3), "the change log is asked from the last known event");
+    let mut viewer = front.connect();
+    viewer.write_all(&message("OPTIONS rtsp://media/ping RTSP/1.0", &[("CSeq", "3")], b"")).expect("writes");
+    assert!(read(&mut viewer).expect("an answer").head.starts_with("RTSP/1.0 200"));
+    viewer.write_all(&set_up("00000000000000b1")).expect("writes");
+    let answer = read(&mut viewer).expect("an answer");
+    assert!(answer.head.starts_with("RTSP/1.0 200"), "{answer:?}");
+    assert_eq!((answer.field("CSeq"), answer.field("Session")), (Some("1"), Some("00000000000000b1")));
+    assert_eq!(answer.body, b"an answer\r\n");
+    let end = read(&mut viewer).expect("the end");
+    assert!(
+        end.head.starts_with("TEARDOWN rtsp://media/") && end.field("Reason") == Some("cause=16"),
+        "{end:?}"
+    );
+    let sent = told.iter().find(|m| m.head.starts_with("SETUP")).expect("a set-up");
+    assert!(sent.head.starts_with("SETUP rtsp://media/00000000000000f1 RTSP/1.0\r\n"));
+    assert_eq!((sent.field("Priority-Class"), &sent.body[..]), (Some("lesson"), &b"an offer\r\n"[..]));
+    assert!(sent.field("X-Rung").is_some() && sent.field("P-Trunk-Info").is_none());
+    let wait: u64 = sent.field("Expires-Ms").and_then(|w| w.parse().ok()).expect("a time");
+    assert!((1..=1500).contains(&wait));
+}
+
+#[test]
+fn bad_clients_are_turned_away_and_usual_ones_are_served_meanwhile() {
+    let (address, _told) = scripted(answer);
+    let front = front(&config(&[address], change_log(Vec::new()).0));
+    let with = |from: &str, to: &str| {
+        String::from_utf8_lossy(&set_up("00000000000000c1")).replace(from, to).into_bytes()
+    };
+    let mut bad: Vec<Vec<u8>> = vec![
+        vec![0xff; 64],
+        vec![b'a'; 40_000],
+        [&b"SETUP rtsp://media/00000000000000f1 RTSP/1.0\r\n"[..], &vec![b'x'; 60_000][..]].concat(),
+        with("Content-Length: 10", "Content-Length: -10"),
+        with("Content-Length: 10", "Content-Length: 60000000"),
+        with("Content-Length: 10", "Content-Length: 99999999999999999999"),
+        with("Content-Length: 10\r\n", ""),
+        with("Session: 00000000000000c1\r\n", ""),
+        with("Priority-Class: lesson", "Priority-Class: nobody"),
+        with("Expires-Ms: 1500", "Expires-Ms: -1"),
+        with("Expires-Ms: 1500", "Expires-Ms: 99999999999999999999"),
+        with("Expires-Ms: 1500", "Expires-Ms: soon"),
+        with("X-Length: 8200.0", "X-Length: NaN"),
+        with("home:0", "home:1e300"),
+        with("copies:2", "copies:-3"),
+        with("viewer:00000000000000aa", "viewer:zz"),
+        with("00000000000000f1", "not-a-title"),
+        message(
+            "TEARDOWN rtsp://media/00000000000000f1 RTSP/1.0",
+            &[("CSeq", "2"), ("Session", "00000000000000dd")],
+            b"",
+        ),
+        b"SETUP rtsp://media/000".to_vec(),
+        Vec::new(),
+    ];
+    bad.push([set_up("00000000000000c2"), with("00000000000000c1", "00000000000000c2")].concat());
+    let began = Instant::now();
+    let each: Vec<_> = bad
+        .into_iter()
+        .map(|bytes| {
+            let mut stream = front.connect();
+            spawn(move || {
+                let _ = stream.write_all(&bytes);
+                let answer = read(&mut stream);
+                (String::from_utf8_lossy(&bytes).into_owned(), answer.map(|a| a.head))
+            })
+        })
+        .collect();
+    for i in 0..10 {
+        let answer = front.asks(&format!("{:016x}", 0xe0 + i));
+        assert!(answer.head.starts_with("RTSP/1.0 200"), "{answer:?}");
+    }
+    for one in each {
+        // An error of the read is a close.
+        let (sent, answer) = one.join().expect("joins");
+        assert!(
+            !answer.as_ref().is_ok_and(|a| a.starts_with("RTSP/1.0 200")),
+            "{sent} was answered {answer:?}"
+        );
+    }
+    assert!(began.elapsed() < 3 * SECOND, "{:?}", began.elapsed());
+}
+
+#[test]
+fn silent_connections_by_the_hundred_do_not_keep_viewers_away() {
+    let (address, _told) = scripted(answer);
+    let front = front(&config(&[address], change_log(Vec::new()).0));
+    let mut silent: Vec<TcpStream> = (0..300).map(|_| front.connect()).collect();
+    for i in 0..5 {
+        assert!(front.asks(&format!("{:016x}", 0xa0 + i)).head.starts_with("RTSP/1.0 200"));
+    }
+    let began = Instant::now();
+    for stream in &mut silent {
+        assert!(matches!(stream.read(&mut [0; 64]), Ok(0) | Err(_)));
+    }
+    assert!(began.elapsed() < 3 * SECOND);
+}
+
+#[test]
+fn noise_of_a_node_spoils_one_set_up_and_not_the_front() {
+    let (noisy, _told) = scripted(|stream, m| {
+        if m.head.starts_with("SETUP") {
+            let _ = stream.write_all(b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: 3000000000\r\n\r\n");
+            while stream.write_all(&[b'x'; 4096]).is_ok() {}
+        } else {
+            answer(stream, m);
+        }
+    });
+    let front = front(&config(&[noisy], change_log(Vec::new()).0));
+    for i in 0..3 {
+        let answer = front.asks(&format!("{:016x}", 0x70 + i));
+        assert!(
+            answer.head.starts_with("RTSP/1.0 500"),
+            "it may have run, and the class is paid: {answer:?}"
+        );
+    }
+}
+
+#[test]
+fn a_new_configuration_moves_the_change_log_and_a_bad_one_is_kept_out() {
+    let (first, _told) = scripted(answer);
+    let (second, _told_too) = scripted(answer);
+    let (old, asked) = change_log(Vec::new());
+    let mut v = config(&[first], old);
+    let front = front(&v);
+    assert_eq!(asked.recv_timeout(5 * SECOND), Ok(3));
+    std::fs::write(front.file.path(), "{").expect("writes");
+    front.signal("SIGHUP");
+    wait(&front.lines, "config-kept");
+    // The new change log drops the first node and brings the second one.
+    let SocketAddr::V4(second) = second else { panic!("an address of four bytes") };
+    let record = |id: u32, address: std::net::SocketAddrV4, state: u8| {
+        let (ip, port) = (address.ip().octets(), address.port().to_be_bytes());
+        let tail = [&[state, 0, 0, 0, 0][..], &1000u32.to_be_bytes(), &0u64.to_be_bytes()].concat();
+        [&id.to_be_bytes()[..], &ip, &port, &tail].concat()
+    };
+    let payload = record(9, second, 0);
+    let frame = [&(9 + payload.len() as u32).to_be_bytes()[..], &4u64.to_be_bytes(), &[1], &payload].concat();
+    let (new, asked) = change_log(frame);
+    v["changelog"] = json!(new.to_string());
+    std::fs::write(front.file.path(), v.to_string()).expect("writes");
+    front.signal("SIGHUP");
+    assert_eq!(asked.recv_timeout(5 * SECOND), Ok(3), "the numbering carries on");
+    let until = Instant::now() + 5 * SECOND;
+    let mut n = 0u64;
+    loop {
+        n += 1;
+        assert!(front.asks(&format!("{n:016x}")).head.starts_with("RTSP/1.0 200"));
+        if _told_too.try_iter().any(|m| m.head.starts_with("SETUP")) {
+            return;
+        }
+        assert!(Instant::now() < until, "the new list is never in force");
+    }
+}
+
+#[test]
+fn what_comes_before_and_shortly_after_sigterm_is_answered_and_the_exit_is_0() {
+    let (address, _told) = scripted(answer);
+    let mut front = front(&config(&[address], change_log(Vec::new()).0));
+    let mut viewer = front.connect();
+    viewer.write_all(&set_up("00000000000000b1")).expect("writes");
+    assert!(read(&mut viewer).expect("an answer").head.starts_with("RTSP/1.0 200"));
+    front.signal("SIGTERM");
+    wait(&front.lines, "stopping");
+    viewer.write_all(&set_up("00000000000000b2")).expect("writes");
+    assert!(read(&mut viewer).expect("an answer").head.starts_with("RTSP/1.0 200"));
+    assert!(front.asks("00000000000000b3").head.starts_with("RTSP/1.0 200"));
+    let status = front.child.wait().expect("ends");
+    assert_eq!(status.code(), Some(0));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_named_by_file_and_field() {
+    let good = config(&[], "127.0.0.1:9".parse().expect("an address"));
+    let without = |path: &[&str], with: Value| {
+        let mut v = good.clone();
+        let mut at = &mut v;
+        for key in path {
+            at = &mut at[*key];
+        }
+        *at = with;
+        v.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "not JSON"),
+        ("[]".to_owned(), "'settings'"),
+        (without(&["listen"], json!(7)), "'listen'"),
+        (without(&["listen"], json!("203.0.113.1:1")), "'listen'"),
+        (without(&["seed"], json!("xyz")), "'seed'"),
+        (without(&["settings", "specifics", "uplink_kb"], json!("much")), "'uplink_kb'"),
+        (without(&["known", "results"], json!([{"seq": 1}])), "'fleet'"),
+    ];
+    for (text, field) in cases {
+        let file = tempfile::NamedTempFile::new().expect("a file");
+        std::fs::write(file.path(), text).expect("writes");
+        let run = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
+            .args(["platform", "--config"])
+            .arg(file.path())
+            .output()
+            .expect("runs");
+        let said = String::from_utf8_lossy(&run.stderr).into_owned();
+        let last = said.lines().last().unwrap_or("").to_owned();
+        assert_eq!(run.status.code(), Some(2), "{said}");
+        assert!(last.contains(field) && !said.contains("panicked"), "{said}");
+    }
+    let none =
+        Command::new(env!("CARGO_BIN_EXE_pepperhook")).arg("platform").env_remove("BALANCER_CONFIG").output();
+    assert_eq!(none.expect("runs").status.code(), Some(2));
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/checker.rs
@@ -0,0 +1,175 @@
+//! Judges what passes between a core and the world, from inputs and effects alone. It shares no account with the core.
+
+use super::super::types::*;
+use pepperhook::{Outcome, SessionId, Time};
+use pepperhook_changelog::{Entry, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+const SLACK: Time = 10 * super::MS;
+
+#[derive(Default)]
+struct Request {
+    paid: bool,
+    due: Time,
+    conn: u64,
+    out: Option<LinkId>,
+    may_have_run: bool,
+    ready_answer: Option<bytes::Bytes>,
+    answered: bool,
+    dropped: bool,
+}
+
+#[derive(Default)]
+pub struct Checker {
+    requests: BTreeMap<SessionId, Request>,
+    conns: BTreeSet<u64>,
+    links: BTreeMap<LinkId, SocketAddr>,
+    ready: BTreeSet<SocketAddr>,
+    standing: BTreeSet<SessionId>,
+}
+
+impl Checker {
+    /// What goes into the core, before it is handed in.
+    pub fn input(&mut self, now: Time, input: &Input) {
+        match input {
+            Input::Opened(conn, _) => drop(self.conns.insert(conn.0)),
+            Input::Ask(conn, ask) if self.conns.contains(&conn.0) && !self.requests.contains_key(&ask.id) => {
+                let paid = ask.wish.class.0 == 1;
+                let due = now + ask.wish.patience + SLACK;
+                self.requests.insert(ask.id, Request { paid, due, conn: conn.0, ..Request::default() });
+            }
+            Input::Ask(conn, ask) => {
+                // A second request under one id: on the same connection it takes the first one along.
+                if let Some(r) = self.requests.get_mut(&ask.id).filter(|r| r.conn == conn.0 && !r.answered) {
+                    (r.dropped, r.answered) = (true, true);
+                }
+            }
+            Input::End(_, id) => {
+                self.standing.remove(id);
+                if let Some(r) = self.requests.get_mut(id) {
+                    r.dropped = true;
+                }
+            }
+            Input::Gone(conn) => {
+                self.conns.remove(&conn.0);
+                let own = self.requests.values_mut().filter(|r| r.conn == conn.0 && !r.answered);
+                own.for_each(|r| r.dropped = true);
+            }
+            Input::LinkDown(link) | Input::LinkFailed(link, _) => {
+                self.links.remove(link);
+                self.requests.values_mut().filter(|r| r.out == Some(*link)).for_each(|r| r.out = None);
+            }
+            Input::Node(link, said) => self.said(*link, said),
+            Input::Nodes(entries) => {
+                let ready = |e: &&Entry| e.state == State::Ready;
+                self.ready = entries.iter().filter(ready).map(|e| e.address.into()).collect();
+            }
+            Input::Crowded | Input::LinkUp(_) => {}
+        }
+    }
+
+    fn said(&mut self, link: LinkId, said: &FromNode) {
+        let (FromNode::Plays(id, ..) | FromNode::Ended(id, ..) | FromNode::Over(id, ..)) = said else {
+            return;
+        };
+        let Some(r) = self.requests.get_mut(id).filter(|r| r.out == Some(link)) else { return };
+        r.out = None;
+        match said {
+            FromNode::Plays(_, body, _) if !r.dropped => r.ready_answer = Some(body.clone()),
+            FromNode::Ended(_, Outcome::Full | Outcome::Unsent, _) => r.may_have_run = false,
+            _ => {}
+        }
+    }
+
+    /// What came out of the core.
+    pub fn effect(&mut self, now: Time, effect: &Effect) -> Result<(), String> {
+        match effect {
+            Effect::Dial(link, address) => drop(self.links.insert(*link, *address)),
+            Effect::Close(link) => {
+                self.links.remove(link);
+                self.requests.values_mut().filter(|r| r.out == Some(*link)).for_each(|r| r.out = None);
+            }
+            Effect::Write(link, word) => self.judge_node(now, *link, word)?,
+            Effect::Tell(_, word) => self.judge_viewer(now, word)?,
+            Effect::Hang(_) | Effect::Log(..) => {}
+        }
+        Ok(())
+    }
+
+    fn judge_node(&mut self, now: Time, link: LinkId, word: &ToNode) -> Result<(), String> {
+        let address = self.links.get(&link).ok_or("a word to a connection that is no more")?;
+        match word {
+            ToNode::SetUp { id, .. } => {
+                let r = self.requests.get_mut(id).ok_or("a set-up that nobody asked for")?;
+                if !self.ready.contains(address) {
+                    return Err(format!("{id:?} sent to a node that is not ready"));
+                }
+                if r.out.is_some() {
+                    return Err(format!("{id:?} has two attempts out"));
+                }
+                if r.paid && r.may_have_run {
+                    return Err(format!("{id:?} is paid and sent again though it may have run"));
+                }
+                if r.answered || r.dropped || now > r.due {
+                    return Err(format!("{id:?} sent though nobody waits for it"));
+                }
+                (r.out, r.may_have_run) = (Some(link), true);
+            }
+            ToNode::GiveUp(id, _) => {
+                if let Some(r) = self.requests.get_mut(id) {
+                    r.out = None;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn judge_viewer(&mut self, now: Time, word: &ToViewer) -> Result<(), String> {
+        let (id, plays, refused) = match word {
+            ToViewer::Plays(id, body) => (id, Some(body), false),
+            ToViewer::Refused(id, _) => (id, None, true),
+            ToViewer::Failed(id) => (id, None, false),
+            ToViewer::Over(id, ..) | ToViewer::Move(id, _) => {
+                let stood = if matches!(word, ToViewer::Over(..)) {
+                    self.standing.remove(id)
+                } else {
+                    self.standing.contains(id)
+                };
+                return if stood {
+                    Ok(())
+                } else {
+                    Err(format!("{id:?} did not stand and is told to be over"))
+                };
+            }
+            ToViewer::Conflict(_) | ToViewer::Heard(_) | ToViewer::Unknown(_) => return Ok(()),
+        };
+        let r = self.requests.get_mut(id).ok_or("an answer that nobody asked for")?;
+        if r.answered || r.dropped {
+            return Err(format!("{id:?} is answered though nothing is owed"));
+        }
+        if now > r.due {
+            return Err(format!("{id:?} is answered too late"));
+        }
+        if refused && r.paid && r.may_have_run {
+            return Err(format!("{id:?} is paid and refused though it may have run"));
+        }
+        if let Some(body) = plays {
+            if r.ready_answer.as_ref() != Some(body) {
+                return Err(format!("{id:?} is served with what no node made for it"));
+            }
+            self.standing.insert(*id);
+        }
+        r.answered = true;
+        Ok(())
+    }
+
+    /// At the end, when every time is up.
+    pub fn end(&self) -> Result<(), String> {
+        match self.requests.iter().find(|(_, r)| !r.answered && !r.dropped) {
+            Some((id, _)) => Err(format!("{id:?} has no answer")),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/core/tests/histories.rs
@@ -0,0 +1,198 @@
+//! Random histories of viewers, nodes and connections, judged by the checker; and the checker, judged by violations.
+
+use super::checker::Checker;
+use super::*;
+use proptest::prelude::*;
+
+/// A world whose every word passes the checker.
+struct Judged {
+    world: World,
+    checker: Checker,
+    dials: Vec<LinkId>,
+    links: Vec<LinkId>,
+    sent: Vec<(LinkId, SessionId)>,
+    next: u64,
+    conn: u64,
+    fault: Option<String>,
+}
+
+impl Judged {
+    fn new() -> Self {
+        let nodes = [1, 2, 3].map(|id| node(id, State::Ready));
+        let mut world = World::new(&[]);
+        let mut checker = Checker::default();
+        checker.input(T0, &Input::Opened(ConnId(1), HERE));
+        world.out.clear();
+        let mut j = Self {
+            world,
+            checker,
+            dials: Vec::new(),
+            links: Vec::new(),
+            sent: Vec::new(),
+            next: 1,
+            conn: 1,
+            fault: None,
+        };
+        j.tell(Input::Nodes(nodes.to_vec()));
+        j
+    }
+
+    fn take(&mut self, out: Vec<Effect>) {
+        for e in out {
+            if let Err(fault) = self.checker.effect(self.world.now, &e) {
+                self.fault.get_or_insert(fault);
+            }
+            match e {
+                Effect::Dial(link, _) => self.dials.push(link),
+                Effect::Write(link, ToNode::SetUp { id, .. }) => self.sent.push((link, id)),
+                Effect::Close(link) => {
+                    self.dials.retain(|l| *l != link);
+                    self.links.retain(|l| *l != link);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn tell(&mut self, input: Input) {
+        self.checker.input(self.world.now, &input);
+        let out = self.world.tell(input);
+        self.take(out);
+    }
+
+    fn pass(&mut self, time: Time) {
+        // Timers run one by one, so that the checker sees each word at its time.
+        let end = self.world.now + time;
+        while let Some(at) = self.world.core.next_wake().filter(|at| *at <= end) {
+            let out = self.world.pass(at.saturating_sub(self.world.now));
+            self.take(out);
+        }
+        self.world.now = end;
+    }
+
+    fn step(&mut self, what: u8, which: usize) {
+        let pick = |n: usize| if n == 0 { None } else { Some(which % n) };
+        match what % 16 {
+            0..=3 => {
+                self.tell(Input::Ask(ConnId(self.conn), ask(self.next, u16::from(which % 2 == 1))));
+                self.next += 1;
+            }
+            4 => self.tell(Input::End(ConnId(self.conn), SessionId(1 + which as u64 % self.next))),
+            5 if which % 4 == 0 => {
+                self.tell(Input::Gone(ConnId(self.conn)));
+                self.conn += 1;
+                self.tell(Input::Opened(ConnId(self.conn), HERE));
+            }
+            6..=8 => {
+                if let Some(i) = pick(self.dials.len()) {
+                    let link = self.dials.remove(i);
+                    self.links.push(link);
+                    self.tell(Input::LinkUp(link));
+                }
+            }
+            9 => {
+                if let Some(i) = pick(self.dials.len()) {
+                    let how = [DialEnd::Refused, DialEnd::TimedOut, DialEnd::Failed][which % 3];
+                    let link = self.dials.remove(i);
+                    self.tell(Input::LinkFailed(link, how));
+                }
+            }
+            10 => {
+                if let Some(i) = pick(self.links.len()) {
+                    let link = self.links.remove(i);
+                    self.tell(Input::LinkDown(link));
+                }
+            }
+            11 | 12 => {
+                if let Some(i) = pick(self.sent.len()) {
+                    let (link, id) = self.sent[i];
+                    self.tell(Input::Node(link, plays(id.0)));
+                }
+            }
+            13 => {
+                if let Some(i) = pick(self.sent.len()) {
+                    let (link, id) = self.sent[i];
+                    let how =
+                        [Outcome::Full, Outcome::Error, Outcome::Unsent, Outcome::LinkBroken][which % 4];
+                    self.tell(Input::Node(link, FromNode::Ended(id, how, vec![0.5, 0.5])));
+                }
+            }
+            14 => {
+                if let Some(i) = pick(self.sent.len()) {
+                    let (link, id) = self.sent[i];
+                    let how = [Outcome::Served, Outcome::Cancelled, Outcome::Broken][which % 3];
+                    self.tell(Input::Node(link, FromNode::Over(id, how, Vec::new())));
+                }
+            }
+            15 => {
+                let state = |i: usize| if which >> i & 1 == 1 { State::Draining } else { State::Ready };
+                let nodes = (0..3).filter(|i| which % 5 != *i);
+                self.tell(Input::Nodes(nodes.map(|i| node(i as u32 + 1, state(i))).collect()));
+            }
+            _ => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+    #[test]
+    fn no_history_breaks_an_account(
+        steps in prop::collection::vec((any::<u8>(), 0usize..64, 0u64..400), 1..120)
+    ) {
+        let mut j = Judged::new();
+        for (what, which, ms) in steps {
+            j.step(what, which);
+            j.pass(ms * MS);
+        }
+        j.pass(20 * S);
+        prop_assert_eq!(j.fault.clone(), None);
+        prop_assert_eq!(j.checker.end(), Ok(()));
+        prop_assert_eq!(j.world.core.open(), 0);
+    }
+}
+
+/// A request that was sent to a node, and the checker that saw it.
+fn sent(class: u16) -> (Judged, LinkId) {
+    let mut j = Judged::new();
+    j.tell(Input::Ask(ConnId(1), ask(1, class)));
+    let link = j.dials[0];
+    j.tell(Input::LinkUp(link));
+    assert!(j.fault.is_none() && j.sent == [(link, SessionId(1))]);
+    (j, link)
+}
+
+fn again(link: LinkId) -> Effect {
+    let body = Bytes::new();
+    Effect::Write(link, ToNode::SetUp { id: SessionId(1), title: 7, class: 0, wait_ms: 1, rung: 0, body })
+}
+
+#[test]
+fn the_checker_sees_violations_that_are_planted() {
+    let failed = Effect::Tell(ConnId(1), ToViewer::Failed(SessionId(1)));
+    let served = Effect::Tell(ConnId(1), ToViewer::Plays(SessionId(1), Bytes::from_static(b"made up")));
+    let refused = Effect::Tell(ConnId(1), ToViewer::Refused(SessionId(1), None));
+    let fault = |j: &mut Judged, e: &Effect| j.checker.effect(j.world.now, e).expect_err("a violation");
+
+    let (mut j, link) = sent(0);
+    assert!(fault(&mut j, &again(link)).contains("two attempts"));
+    assert!(fault(&mut j, &served).contains("no node made"));
+    assert!(j.checker.end().is_err(), "an answer is owed");
+    assert_eq!(j.checker.effect(j.world.now, &failed), Ok(()));
+    assert!(fault(&mut j, &failed).contains("nothing is owed"));
+
+    let (mut j, link) = sent(1);
+    assert!(fault(&mut j, &refused).contains("refused"));
+    j.checker
+        .input(j.world.now, &Input::Node(link, FromNode::Ended(SessionId(1), Outcome::Error, Vec::new())));
+    assert!(fault(&mut j, &again(link)).contains("paid"));
+
+    let (mut j, link) = sent(0);
+    j.checker
+        .input(j.world.now, &Input::Node(link, FromNode::Ended(SessionId(1), Outcome::Full, Vec::new())));
+    j.checker.input(j.world.now, &Input::Nodes(vec![]));
+    assert!(fault(&mut j, &again(link)).contains("not ready"));
+    assert!(j.checker.effect(j.world.now + 4 * S, &failed).expect_err("late").contains("too late"));
+    let over = Effect::Tell(ConnId(1), ToViewer::Over(SessionId(1), 7, 16));
+    assert!(fault(&mut j, &over).contains("did not stand"));
+}
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -59,7 +59,7 @@
         };
         decoder.feed(&piece[..n]);
         loop {
-            match decoder.next() {
+            match decoder.decode() {
                 Ok(None) => break,
                 Ok(Some(Frame::Nothing(number))) => {
                     if shell.is_behind(number) {
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -153,7 +153,7 @@
                     decoder.feed(&piece[..n]);
                     let mut taken = 0;
                     loop {
-                        match decoder.next() {
+                        match decoder.decode() {
                             Ok(Some(message)) => {
                                 heard = true;
                                 if let ControlFlow::Break(end) = each(message) {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -311,7 +311,8 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| io::Error::new(e.kind(), format!("'listen' {}: {e}", config.listen)))?;
-    info!(event = "listening", address = %config.listen, nodes = shell.list.borrow().nodes().len(), "ready");
+    let address = listener.local_addr()?;
+    info!(event = "listening", %address, nodes = shell.list.borrow().nodes().len(), "ready");
     let tasks = [
         spawn_local(shell.clone().accept(listener)),
         spawn_local(shell.clone().timers()),
--- a/crates/rtsp/src/lib.rs
+++ b/crates/rtsp/src/lib.rs
@@ -131,7 +131,7 @@
 }
 
 impl Decoder {
-    /// Takes bytes in; [`Decoder::next`] is called until it gives none before more come.
+    /// Takes bytes in; [`Decoder::decode`] is called until it gives none before more come.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
@@ -146,11 +146,15 @@
     ///
     /// # Errors
     /// When the bytes are no message; the connection is of no further use.
-    pub fn next(&mut self) -> Result<Option<Message>, Fault> {
+    pub fn decode(&mut self) -> Result<Option<Message>, Fault> {
         // Empty lines before a message are passed over (RFC 2326, 4.1).
         while self.searched == 0 && self.buffer.starts_with(b"\r\n") {
             self.buffer.advance(2);
         }
+        // Half of such a line is not yet the beginning of a message.
+        if &self.buffer[..] == b"\r" {
+            return Ok(None);
+        }
         let from = self.searched.saturating_sub(3);
         let found = self.buffer[from..].windows(4).position(|w| w == b"\r\n\r\n");
         let Some(end) = found.map(|at| from + at + 4) else {
--- a/crates/rtsp/src/tests.rs
+++ b/crates/rtsp/src/tests.rs
@@ -9,7 +9,7 @@
     let (mut decoder, mut out) = (Decoder::default(), Vec::new());
     for piece in pieces {
         decoder.feed(piece);
-        while let Some(m) = decoder.next()? {
+        while let Some(m) = decoder.decode()? {
             out.push(m);
         }
     }
@@ -54,7 +54,7 @@
     let fault = loop {
         decoder.feed(&[b'a'; 1000]);
         fed += 1000;
-        if let Err(fault) = decoder.next() {
+        if let Err(fault) = decoder.decode() {
             break fault;
         }
     };
@@ -86,7 +86,7 @@
         for piece in &pieces {
             decoder.feed(piece);
             loop {
-                match decoder.next() {
+                match decoder.decode() {
                     Ok(Some(_)) => {}
                     Ok(None) => break,
                     Err(_) => return Ok(()),
