The module forgets servers that left the list

Need: on the platform ids of nodes are always new, and each entry of each map must have an end; the module kept every server it was ever told of.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -807,6 +807,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         out.push(Action::SetTimer(PERIOD, TICK));
         self.moved.retain(|_, (at, ..)| *at + WINDOW > now);
+        self.bury(now);
         self.learn_usual(now);
         let late = |s: &Session| !s.asked.is_empty() && s.since + PERIOD / 2 < now;
         let late: Vec<_> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
@@ -820,6 +821,19 @@
         self.rise(now, out);
     }
 
+    /// Servers that left the list are forgotten, with a delay in which one that comes back is still known: where ids
+    /// are always new, what is held of them would grow without end.
+    fn bury(&mut self, now: Time) {
+        let keep = self.set.rules.cold.max(WINDOW);
+        self.servers.retain(|_, s| {
+            let gone = s.entry.state == ServerState::Gone && s.sessions.is_empty();
+            s.gone_at = if gone { s.gone_at.or(Some(now)) } else { None };
+            s.gone_at.is_none_or(|at| at + keep > now)
+        });
+        let servers = &self.servers;
+        self.racks.iter_mut().for_each(|r| r.members.retain(|id| servers.contains_key(id)));
+    }
+
     /// The next number between 0 and 1 from the instance's own seed.
     fn draw(&mut self) -> f64 {
         self.dice = self.dice.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     pub cold_from: Option<Time>,
     /// Lost, and not yet seen to run again: it will be cold from a moment still unknown.
     pub lost: bool,
+    /// When it was first seen to be gone, with no own session left there.
+    pub gone_at: Option<Time>,
     /// Requests for a title that it holds.
     pub wanted: SlidingSum,
     pub sends: SlidingSum,
@@ -109,6 +111,7 @@
             barred_until: 0,
             cold_from: entry.started,
             lost: false,
+            gone_at: None,
             wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
         }
