--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -31,10 +31,6 @@
 const BAD_WORDS: u32 = 4;
 /// After SIGTERM the front serves on for as long as new requests may come, and for the longest deadline beyond.
 const STILL_COMING: Duration = Duration::from_millis(900);
-/// The platform kills a front no earlier than the longest deadline, counted as this where it is longer, and 0.7 s more
-/// after SIGTERM; a little is kept back of it.
-const LONGEST_COUNTED: Duration = Duration::from_millis(3_000);
-const STAY: Duration = Duration::from_millis(600);
 /// Warnings of one kind come once in so long.
 const WARN_EACH: Duration = Duration::from_secs(5);
 
@@ -330,15 +326,13 @@
         }
     }
     info!(event = "stopping", open = shell.core.borrow().open(), standing = shell.core.borrow().standing());
-    let began = Instant::now();
     tokio::time::sleep(STILL_COMING).await;
-    // Its sessions end with the front: it stays for them as long as it surely may, and longer only for answers.
-    let stay = longest.min(LONGEST_COUNTED) + STAY;
-    while (shell.core.borrow().standing() > 0 && began.elapsed() < stay)
-        || (shell.core.borrow().open() > 0 && began.elapsed() < STILL_COMING + longest)
-    {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let idle = async {
+        while shell.core.borrow().open() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = tokio::time::timeout(longest, idle).await;
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     info!(event = "stopped", "the front has stopped");
     Ok(())
