Rungs rise after a part of a session's mean length, if that is shorter than the quiet time

Checked in a trace: 423 set-ups at rung 1 in one second, then no rise for six; sessions last 4.8 s there, the quiet time is 8 s. At fault: QUIET, a length of its own where the paper's times follow sessions that last minutes. Now the module measures the mean length, time played over sessions that ended, and waits for three tenths of it at most; what a switch costs is spread over no more than that length either.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,8 +30,15 @@
 const ALERT: Time = 5 * SECOND;
 /// Part of the sessions that an alert moves (the paper's one in five).
 const FRACTION: f64 = 0.2;
-/// Rungs rise after so long without a shortage or a change.
+/// Rungs rise after so long without a shortage or a change, and after this part of a session's mean length if that is
+/// shorter: one that waits for most of its life gains nothing by the rise.
 const QUIET: Time = 8 * SECOND;
+const QUIET_PART: f64 = 0.3;
+/// Sessions are taken to last so long (the paper's 30 s of past measurements) until some have ended; the weight of that
+/// guess in ended sessions, and the time over which lengths are learnt.
+const LENGTH: Time = 30 * SECOND;
+const LENGTH_WEIGHT: f64 = 5.0;
+const LEARN: Time = 60 * SECOND;
 /// Racks count as settled, and sessions below the first worthwhile rung rise, after so long: notes come each
 /// second and up to a second and a half late.
 const SETTLED: Time = 2 * SECOND;
@@ -77,6 +84,8 @@
     taken: SlidingSum,
     further: SlidingSum,
     probes: f64,
+    /// Time played by sessions, in seconds, and how many of them played to their end: both fade.
+    played: (f64, f64),
     /// When the first event came.
     began: Option<Time>,
     random: u64,
@@ -104,6 +113,7 @@
             taken: SlidingSum::default(),
             further: SlidingSum::default(),
             probes: 0.0,
+            played: (LENGTH_WEIGHT * seconds(LENGTH), LENGTH_WEIGHT),
             began: None,
             random: scatter(seed),
             dice: scatter(seed) | 1,
@@ -133,6 +143,7 @@
                 self.report(now, now, server, &report);
                 self.symptom(now, session, server, outcome, out);
                 if settled {
+                    self.played.1 += f64::from(u8::from(outcome == Outcome::Served));
                     self.forget(now, session);
                 } else {
                     self.retry(now, session, server, outcome, out);
@@ -450,6 +461,15 @@
         can.into_iter().for_each(|id| self.shift(now, id, out));
     }
 
+    /// Mean length of a session: time played over sessions that ended, so that those still playing count too.
+    fn length(&self) -> f64 {
+        self.played.0 / self.played.1.max(0.1)
+    }
+
+    fn quiet(&self) -> Time {
+        QUIET.min((self.length() * QUIET_PART * SECOND as f64) as Time)
+    }
+
     fn rack_sessions(&self, rack: u32) -> Vec<SessionId> {
         self.in_rack(rack).flat_map(|s| s.sessions.iter().copied()).collect()
     }
@@ -462,7 +482,8 @@
         let (kb, shared) = (rate(&self.set, s.class, s.rung), self.set.classes[s.class].live);
         let best = self.set.classes.iter().map(|c| c.value).fold(0.0, f64::max);
         let gain = s.value / best * self.set.ladder[usize::from(s.rung)].worth / 2.0;
-        let idle = s.phase != Phase::Playing || s.since + QUIET >= now || (shared && self.set.join < 1.0);
+        let idle =
+            s.phase != Phase::Playing || s.since + self.quiet() >= now || (shared && self.set.join < 1.0);
         let fit = |t: &Server| {
             t.rack != from.rack
                 && self.racks[t.rack as usize].alert_until <= now
@@ -481,7 +502,8 @@
     fn step(&self, s: &Session, rung: u8, switches: f64) -> (f64, f64) {
         let (high, low) = (self.set.ladder[usize::from(rung)], self.set.ladder[usize::from(rung) - 1]);
         let kb = rate(&self.set, s.class, rung) - rate(&self.set, s.class, rung - 1);
-        (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / seconds(WINDOW)) / kb, kb)
+        let lasts = self.length().min(seconds(WINDOW));
+        (s.value * (high.worth - low.worth + switches * self.set.switch_cost_s / lasts) / kb, kb)
     }
 
     /// Lowers those sessions that lose least for each kB, and less than `limit`, until `kb` are free. Steps
@@ -541,9 +563,10 @@
     /// After quiet a session rises a step towards its fair rung, by chance: if all sessions there were to
     /// take theirs, what is left under the mark would do for so many of them.
     fn rise(&mut self, now: Time, out: &mut Vec<Action>) {
-        let quiet = |t: Option<Time>| t.is_none_or(|t| t + SETTLED <= now);
+        let settled = |t: Option<Time>| t.is_none_or(|t| t + SETTLED <= now);
+        let quiet = self.quiet();
         let waited = |s: &Session| {
-            let wait = if s.rung < self.steps[s.class][0].0 { SETTLED } else { QUIET };
+            let wait = if s.rung < self.steps[s.class][0].0 { SETTLED.min(quiet) } else { quiet };
             s.phase == Phase::Playing && !s.moving && s.rung < s.top && s.changed.max(s.weighed) + wait <= now
         };
         let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| waited(s)).map(|(id, _)| *id).collect();
@@ -552,7 +575,7 @@
             let Some(s) = self.sessions.get(&id) else { continue };
             let Some(server) = s.server.and_then(|id| self.servers.get(&id)) else { continue };
             let rack = &self.racks[server.rack as usize];
-            if !quiet(server.short_at) || !quiet(rack.short_at) || rack.alert_until > now {
+            if !settled(server.short_at) || !settled(rack.short_at) || rack.alert_until > now {
                 continue;
             }
             let (at, rung, held) = (server.entry.server, s.rung + 1, rate(&self.set, s.class, s.rung));
@@ -808,6 +831,9 @@
         out.push(Action::SetTimer(PERIOD, TICK));
         self.moved.retain(|_, (at, ..)| *at + WINDOW > now);
         self.bury(now);
+        let playing = self.sessions.values().filter(|s| s.phase == Phase::Playing).count() as f64;
+        let fade = 1.0 - seconds(PERIOD) / seconds(LEARN);
+        self.played = ((self.played.0 + playing * seconds(PERIOD)) * fade, self.played.1 * fade);
         self.learn_usual(now);
         let late = |s: &Session| !s.asked.is_empty() && s.since + PERIOD / 2 < now;
         let late: Vec<_> = self.sessions.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -335,6 +335,29 @@
     }
 }
 
+/// On scaled days sessions last five seconds, and none of them lived to the end of a quiet time of eight.
+#[test]
+fn where_sessions_are_short_rungs_rise_after_a_part_of_their_length() {
+    let rises_after = |short: bool| {
+        let mut f = Front::new(Settings { switch_cost_s: 0.05, ..settings() }, &[server(1, 0)]);
+        for n in 100..160u64 {
+            f.under_way(n, wish(n, 0.0, 1.0), 1, 0);
+            f.pass(500 * MS);
+            let outcome = if short { Outcome::Served } else { Outcome::Cancelled };
+            f.end(n, ServerId(1), outcome, true);
+        }
+        f.under_way(1, wish(1, 0.0, 1.0), 1, 1);
+        let began = f.now;
+        while !f.pass(500 * MS).contains(&Action::SetRung(SessionId(1), 2)) {
+            assert!(f.now < began + 20 * S, "it never rises");
+        }
+        f.now - began
+    };
+    assert!(rises_after(true) <= 2 * S, "{} ms", rises_after(true) / MS);
+    // A session that was called off tells nothing of how long sessions last.
+    assert!(rises_after(false) >= 8 * S, "{} ms", rises_after(false) / MS);
+}
+
 #[test]
 fn what_a_server_tells_at_set_up_lets_the_session_rise_without_the_quiet() {
     for told in [true, false] {
