--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,7 +33,7 @@
 /// Rungs rise after so long without a shortage or a change, and after this part of a session's mean length if that is
 /// shorter: one that waits for most of its life gains nothing by the rise.
 const QUIET: Time = 8 * SECOND;
-const QUIET_PART: f64 = 0.3;
+const QUIET_PART: f64 = 0.4;
 /// Sessions are taken to last so long (the paper's 30 s of past measurements) until some have ended; the weight of that
 /// guess in ended sessions, and the time over which lengths are learnt.
 const LENGTH: Time = 30 * SECOND;
