Bad connections that are ended in order hold few descriptors

Each connection closed for what came on it was read on for up to half a second, outside the count of viewers' places; a flood of them could have held what dials to nodes need.

--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -27,6 +27,8 @@
 const FIRST_WORD: Duration = Duration::from_millis(2_000);
 /// A message that has begun is whole within this time.
 const WHOLE: Duration = Duration::from_millis(1_500);
+/// Of the viewers' places, one in so many may be held by connections that are being ended in order.
+const LINGERING: usize = 16;
 /// Messages that cannot be used, on one connection, before it is closed.
 const BAD_WORDS: u32 = 4;
 /// After SIGTERM the front serves on for as long as new requests may come, and for the longest deadline beyond.
@@ -47,6 +49,8 @@
     viewers: RefCell<HashMap<ConnId, Rc<Peer>>>,
     nodes: RefCell<HashMap<LinkId, Rc<Peer>>>,
     most_viewers: usize,
+    /// Connections that are being ended in order.
+    lingering: Cell<usize>,
     next: Cell<u64>,
     warned: RefCell<HashMap<&'static str, Instant>>,
     wake: Notify,
@@ -194,8 +198,13 @@
             if matches!(end, End::Noise | End::Unreadable(_)) {
                 peer.send(&pepperhook_rtsp::Message::response(400));
             }
-            if let Ok(peer) = Rc::try_unwrap(peer).map_err(|_| ()) {
+            // An orderly end holds a descriptor; a flood of bad connections may not hold them all.
+            if let (Ok(peer), true) =
+                (Rc::try_unwrap(peer), self.lingering.get() < self.most_viewers / LINGERING)
+            {
+                self.lingering.set(self.lingering.get() + 1);
                 pepperhook_net::linger(&mut peer.into_stream(), 0).await;
+                self.lingering.set(self.lingering.get() - 1);
             }
         }
     }
@@ -303,6 +312,7 @@
         viewers: RefCell::default(),
         nodes: RefCell::default(),
         most_viewers: config.descriptors / 2,
+        lingering: Cell::new(0),
         next: Cell::new(1),
         warned: RefCell::default(),
         wake: Notify::new(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,8 +46,6 @@
 const DELIVERED: f64 = 0.98;
 /// Weight of a noisy load report against what was predicted.
 const TRUST: f64 = 0.8;
-/// A report that strays by a greater part from what was predicted tells of more than noise and is taken whole.
-const NOISE: f64 = 0.3;
 /// A failure bars a server so long: it is passed over while another holder is sound.
 const BAR: Time = 2 * SECOND;
 /// Part of a class's aim that an attempt may take while another can follow.
@@ -354,8 +352,7 @@
         let (link, uplink) = (self.link_use(now, server), self.uplink_use(now, server.rack));
         let Some(server) = self.servers.get_mut(&id) else { return };
         for (gauge, value) in self.set.gauges.iter().zip(values.iter().copied()) {
-            let trust = |was: f64| if value > 1.0 && value - was > NOISE * was { 1.0 } else { TRUST };
-            let reading = |was: f64| Some(Reading { used: was + trust(was) * (value.min(10.0) - was), at });
+            let reading = |was: f64| Some(Reading { used: was + TRUST * (value.min(10.0) - was), at });
             let known = |r: Option<Reading>| r.is_some_and(|r| r.at > at);
             match gauge {
                 _ if !value.is_finite() || value < 0.0 => {}
