A burst of connections no longer shuts out the viewer that comes behind it

The connection that gives way stays in the count until its task has run; in a burst the count passed its cap before that, and the newest, not the oldest silent one, was dropped (Shell::accept).

--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -158,6 +158,8 @@
                         "a viewer's connection was closed for another"
                     );
                 }
+                // The one that gives way leaves as soon as its task runs; the new one is kept out only if none did.
+                tokio::task::yield_now().await;
                 if self.viewers.borrow().len() >= self.most_viewers * 9 / 8 {
                     continue;
                 }
