Viewers' connections are counted as they are accepted, not as their tasks run

At fault: Shell::viewer put a connection into the count; in a burst a hundred are accepted before the first of their tasks runs, so that the count jumps from nothing past the cap and those that come next, the usual viewer among them, are dropped.

--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -165,15 +165,16 @@
                 }
             }
             let id = ConnId(self.next.replace(self.next.get() + 1));
-            spawn_local(self.clone().viewer(id, stream, peer));
+            // Counted at once: a burst is accepted before the first of its tasks runs.
+            let connection = Rc::new(Peer::new(stream));
+            self.viewers.borrow_mut().insert(id, connection.clone());
+            self.drive(Input::Opened(id, peer.ip()));
+            spawn_local(self.clone().viewer(id, connection));
         }
     }
 
     /// A viewer's connection to its end.
-    async fn viewer(self: Rc<Self>, id: ConnId, stream: TcpStream, from: SocketAddr) {
-        let peer = Rc::new(Peer::new(stream));
-        self.viewers.borrow_mut().insert(id, peer.clone());
-        self.drive(Input::Opened(id, from.ip()));
+    async fn viewer(self: Rc<Self>, id: ConnId, peer: Rc<Peer>) {
         let mut bad = 0;
         let patience = Patience { first: Some(FIRST_WORD), message: WHOLE };
         let end = peer
