--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,9 @@
     /// Requests for a title that it holds.
     pub wanted: SlidingSum,
     pub sends: SlidingSum,
+    /// Set-ups that succeeded there, and set-ups that it answered with an error.
+    pub begun: SlidingSum,
+    pub failed: SlidingSum,
 }
 
 #[derive(Default)]
@@ -114,6 +117,8 @@
             gone_at: None,
             wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
+            begun: SlidingSum::default(),
+            failed: SlidingSum::default(),
         }
     }
 }
