--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,8 +48,6 @@
 const TRUST: f64 = 0.8;
 /// A failure bars a server so long: it is passed over while another holder is sound.
 const BAR: Time = 2 * SECOND;
-/// Set-ups that failed over those that succeeded, within a window: past this a server is held to be sick.
-const SICK: f64 = 0.25;
 /// Part of a class's aim that an attempt may take while another can follow.
 const TRY_SHARE: f64 = 0.5;
 /// Part of the cold budget that is used, twice over: set-ups differ in work, and lots fall by chance.
@@ -733,7 +731,6 @@
             (s.phase, s.since, s.changed) = (Phase::Playing, now, now);
         }
         if let Some(state) = self.servers.get_mut(&server) {
-            state.begun.push(now, 1.0, WINDOW);
             if state.lost {
                 (state.lost, state.cold_from) = (false, Some(now));
             }
@@ -769,17 +766,7 @@
                 return state.link = Some(Reading { used, at: now });
             }
             Outcome::Broken | Outcome::ConnectFailed => state.lost = true,
-            // One error among set-ups that succeed tells of its request, not of the server: a client that sends
-            // what no server can use would have every server passed over.
-            Outcome::Error if !played => {
-                state.failed.push(now, 1.0, WINDOW);
-                let (failed, begun) =
-                    (state.failed.since(ago(now, WINDOW)), state.begun.since(ago(now, WINDOW)));
-                if begun > failed / SICK {
-                    return;
-                }
-            }
-            Outcome::Full | Outcome::TimedOut if !played => {}
+            Outcome::Full | Outcome::Error | Outcome::TimedOut if !played => {}
             _ => return,
         }
         if state.barred_until <= now {
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,9 +64,6 @@
     /// Requests for a title that it holds.
     pub wanted: SlidingSum,
     pub sends: SlidingSum,
-    /// Set-ups that succeeded there, and set-ups that it answered with an error.
-    pub begun: SlidingSum,
-    pub failed: SlidingSum,
 }
 
 #[derive(Default)]
@@ -117,8 +114,6 @@
             gone_at: None,
             wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
-            begun: SlidingSum::default(),
-            failed: SlidingSum::default(),
         }
     }
 }
