--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,12 +30,12 @@
 const ALERT: Time = 5 * SECOND;
 /// Part of the sessions that an alert moves (the paper's one in five).
 const FRACTION: f64 = 0.2;
-/// Rungs rise after so long without a shortage or a change, and after this part of a session's mean length if that is
-/// shorter: one that waits for most of its life gains nothing by the rise.
+/// Rungs rise after so long without a shortage or a change, and after this part of a session's mean length
+/// if that is shorter: one that waits for most of its life gains nothing by the rise.
 const QUIET: Time = 8 * SECOND;
 const QUIET_PART: f64 = 0.4;
-/// Sessions are taken to last so long (the paper's 30 s of past measurements) until some have ended; the weight of that
-/// guess in ended sessions, and the time over which lengths are learnt.
+/// Sessions are taken to last so long (the paper's 30 s of past measurements) until some have ended; the
+/// weight of that guess in ended sessions, and the time over which lengths are learnt.
 const LENGTH: Time = 30 * SECOND;
 const LENGTH_WEIGHT: f64 = 5.0;
 const LEARN: Time = 60 * SECOND;
@@ -847,8 +847,8 @@
         self.rise(now, out);
     }
 
-    /// Servers that left the list are forgotten, with a delay in which one that comes back is still known: where ids
-    /// are always new, what is held of them would grow without end.
+    /// Servers that left the list are forgotten, with a delay in which one that comes back is still known:
+    /// where ids are always new, what is held of them would grow without end.
     fn bury(&mut self, now: Time) {
         let keep = self.set.rules.cold.max(WINDOW);
         self.servers.retain(|_, s| {
