One wait on the clock for both shells; parameters that did nothing are gone

Both shells wrote the same wait for the next timer; it is Clock::until now. Core::attempt_closed, moved and not_told carried what they did not use.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -267,14 +267,8 @@
     async fn timers(self: Rc<Self>) {
         loop {
             let next = self.engine.borrow().next_wake();
-            let sleep = async {
-                match next {
-                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
-                () = sleep => {
+                () = self.clock.until(next) => {
                     let mut out = Vec::new();
                     self.engine.borrow_mut().wake(self.clock.now(), &mut out);
                     self.carry_out(out);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,10 +28,15 @@
         self.base.saturating_add(self.start.elapsed().as_nanos() as u64)
     }
 
-    /// The moment at which this clock shows `at`.
-    #[must_use]
-    pub fn instant(&self, at: u64) -> Instant {
-        self.start + Duration::from_nanos(at.saturating_sub(self.base))
+    /// Waits until this clock shows `at`; without end where there is no such moment.
+    pub async fn until(&self, at: Option<u64>) {
+        match at {
+            Some(at) => {
+                let after = Duration::from_nanos(at.saturating_sub(self.base));
+                tokio::time::sleep_until(self.start + after).await;
+            }
+            None => std::future::pending().await,
+        }
     }
 }
 
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -147,13 +147,10 @@
         }
     }
 
-    pub(super) fn attempt_closed(&mut self, now: Time, id: SessionId, number: u32, out: &mut Vec<Effect>) {
-        let Some(attempt) = self.attempt(id).filter(|a| a.number == number && a.stage == Stage::Closing)
-        else {
-            return;
-        };
-        let _ = (now, attempt, &out);
-        self.attempt_ended(id, Outcome::TimedOut, Vec::new());
+    pub(super) fn attempt_closed(&mut self, id: SessionId, number: u32) {
+        if self.attempt(id).is_some_and(|a| a.number == number && a.stage == Stage::Closing) {
+            self.attempt_ended(id, Outcome::TimedOut, Vec::new());
+        }
     }
 
     /// The node's final word on an attempt.
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -247,7 +247,7 @@
                 }
             }
         }
-        self.not_told(now, l.life, l.queue);
+        self.not_told(l.life, l.queue);
         self.dial_ended(now, l.life, how, out);
     }
 
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -197,8 +197,7 @@
     }
 
     /// Words that no connection took: releases are due later, rungs are not.
-    pub(super) fn not_told(&mut self, now: Time, life: LifeId, words: Vec<ToNode>) {
-        let _ = now;
+    pub(super) fn not_told(&mut self, life: LifeId, words: Vec<ToNode>) {
         words.into_iter().filter(|w| matches!(w, ToNode::Release(..))).for_each(|w| self.due_at(life, w));
     }
 
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -205,9 +205,10 @@
             match wake {
                 Wake::Module(token) => self.pending.push_back(Event::Timer(token)),
                 Wake::AttemptTime(id, number) => self.attempt_time(now, id, number, out),
-                Wake::AttemptClosed(id, number) => self.attempt_closed(now, id, number, out),
+                Wake::AttemptClosed(id, number) => self.attempt_closed(id, number),
                 Wake::Backstop(id) => self.backstop(now, id, out),
-                Wake::Moved(id) => self.moved(now, id, out),
+                // Its node still has it.
+                Wake::Moved(id) => self.cut(now, id, out),
                 Wake::ProbeTime(id) => self.probe_time(now, id, out),
                 Wake::Doubt(life) => self.doubt_again(now, life, out),
                 Wake::Sweep => self.sweep(now, out),
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -173,11 +173,6 @@
         self.at(now + MOVED, Wake::Moved(id));
     }
 
-    /// A moved session that its node still has is cut there.
-    pub(super) fn moved(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
-        self.cut(now, id, out);
-    }
-
     fn take_standing(&mut self, now: Time, id: SessionId) -> Option<(Session, ServerId)> {
         let Phase::Standing(life, _) = self.sessions.get(&id)?.phase else { return None };
         let s = self.sessions.remove(&id)?;
