--- a/crates/changelog/src/known.rs
+++ b/crates/changelog/src/known.rs
@@ -25,9 +25,11 @@
     Ok(Event { number, full, entries })
 }
 
-/// Writes as text and reads back what an id stands for.
-fn id(text: &str) -> Option<u32> {
-    let digits = text.strip_prefix("s-").filter(|d| d.len() == 8)?;
+/// Reads a node's id as it stands in text: `s-` and 8 hex digits.
+#[must_use]
+pub fn node_id(text: &str) -> Option<u32> {
+    let hex = |d: &&str| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit());
+    let digits = text.strip_prefix("s-").filter(hex)?;
     u32::from_str_radix(digits, 16).ok()
 }
 
@@ -40,7 +42,7 @@
     };
     let whole = |key: &str| v.get(key).and_then(Value::as_u64);
     Ok(Entry {
-        id: id(text("id")?).ok_or("'id' is not of the form s- and 8 hex digits")?,
+        id: node_id(text("id")?).ok_or("'id' is not of the form s- and 8 hex digits")?,
         address: text("addr")?.parse().map_err(|_| "'addr' is no address and port")?,
         state: match text("state")? {
             "up" => State::Ready,
--- a/crates/changelog/src/lib.rs
+++ b/crates/changelog/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod known;
 
-pub use known::known;
+pub use known::{known, node_id};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -23,14 +23,14 @@
     SettingsError, TenantId, Time, TitleId, ViewerKey, Wish,
 };
 use pepperhook_inventory::Node;
+use pepperhook_net::Timers;
 use pepperhook_peaks::Holds;
 use pepperhook_settings::Config;
 use pepperhook_signalling::{Direction, EVENT_MOVE, LoadReport, Offer};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 pub use readings::life;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 pub use tally::Tally;
@@ -123,7 +123,7 @@
     /// A timer for the next plan is set.
     planned: bool,
     returning: Returning,
-    timers: BinaryHeap<Reverse<(Time, Wake)>>,
+    timers: Timers<Wake>,
     pending: VecDeque<Event>,
     stopping: bool,
     tally: Tally,
@@ -158,7 +158,7 @@
             holds: peaks::holds(&config),
             planned: false,
             returning: Returning::new(RETURNING_KEPT),
-            timers: BinaryHeap::new(),
+            timers: Timers::default(),
             pending: VecDeque::new(),
             stopping: false,
             tally: Tally::new(config.classes.iter().map(|c| c.name.clone()).collect()),
@@ -200,16 +200,12 @@
     /// The moment of the next timer.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        self.timers.next()
     }
 
     /// Runs the timers that are due.
     pub fn wake(&mut self, now: Time, out: &mut Vec<Effect>) {
-        while let Some(Reverse((at, wake))) = self.timers.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.timers.pop();
+        while let Some(wake) = self.timers.due(now) {
             match wake {
                 Wake::Module(token) => self.pending.push_back(Event::Timer(token)),
                 Wake::AttemptTime(id) => self.close_attempt(now, id, Outcome::TimedOut, out),
@@ -371,7 +367,7 @@
 
     fn backstop_at(&mut self, taken: Time, ticket: Ticket, class: u16) {
         let at = taken.saturating_add(self.patience(class)).saturating_add(self.config.answer_margin / 2);
-        self.timers.push(Reverse((at, Wake::Backstop(ticket))));
+        self.timers.set(at, Wake::Backstop(ticket));
     }
 
     fn begin(&mut self, now: Time, taken: Time, ticket: Ticket, ask: Ask, out: &mut Vec<Effect>) {
@@ -476,7 +472,7 @@
         live.out = Some(attempt);
         let (title, publish, offer) = (live.ask.name.clone(), live.ask.publish, live.ask.offer.clone());
         self.attempts.insert(attempt, Attempt { node, viewer: live.ask.viewer, closing: None });
-        self.timers.push(Reverse((now.saturating_add(wait), Wake::AttemptTime(attempt))));
+        self.timers.set(now.saturating_add(wait), Wake::AttemptTime(attempt));
         self.tally.attempts += 1;
         self.note_age(now, node);
         out.push(Effect::SetUp { attempt, node, title, publish, offer });
@@ -487,7 +483,7 @@
         let Some(attempt) = self.attempts.get_mut(&id).filter(|a| a.closing.is_none()) else { return };
         attempt.closing = Some(how);
         self.claims.closing(attempt.viewer);
-        self.timers.push(Reverse((now.saturating_add(self.config.close_grace), Wake::AttemptReset(id))));
+        self.timers.set(now.saturating_add(self.config.close_grace), Wake::AttemptReset(id));
         out.push(Effect::CloseAttempt(id));
     }
 
@@ -791,7 +787,7 @@
             Action::Fail(id) => self.end_unplaced(now, id, &Answer::Failed, out),
             Action::Move(id) => self.move_away(now, id, out),
             Action::SetTimer(after, token) => {
-                self.timers.push(Reverse((now.saturating_add(after), Wake::Module(token))));
+                self.timers.set(now.saturating_add(after), Wake::Module(token));
             }
             Action::Log(line) => out.push(Effect::Log(line)),
             Action::Probe(node) => out.push(Effect::Probe(node)),
--- a/crates/front/src/engine/peaks.rs
+++ b/crates/front/src/engine/peaks.rs
@@ -4,7 +4,6 @@
 use pepperhook::{Event, ServerState, SessionId, Time, TitleId};
 use pepperhook_peaks::{Announcement, HoldRow, Holds, Known, NodeRoom, Peak, Refused, Terms};
 use pepperhook_settings::{Config, name_hash};
-use std::cmp::Reverse;
 
 const MS: Time = 1_000_000;
 /// Time between two plans.
@@ -83,7 +82,7 @@
     fn plan_again(&mut self, now: Time) {
         if !self.planned && !self.holds.is_empty() {
             self.planned = true;
-            self.timers.push(Reverse((now.saturating_add(PERIOD), Wake::Holds)));
+            self.timers.set(now.saturating_add(PERIOD), Wake::Holds);
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,7 @@
 //! What fronts share below their protocols: the clock, the guard around accepting, and an orderly end of a connection.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,6 +48,37 @@
     }
 }
 
+/// What is due at which moment, in nanoseconds of the caller's clock; it reads none itself.
+#[derive(Clone, Debug)]
+pub struct Timers<W>(BinaryHeap<Reverse<(u64, W)>>);
+
+impl<W: Ord> Default for Timers<W> {
+    fn default() -> Self {
+        Self(BinaryHeap::new())
+    }
+}
+
+impl<W: Ord + Copy> Timers<W> {
+    /// Sets a timer.
+    pub fn set(&mut self, at: u64, what: W) {
+        self.0.push(Reverse((at, what)));
+    }
+
+    /// The moment of the next one.
+    #[must_use]
+    pub fn next(&self) -> Option<u64> {
+        self.0.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Takes out the next one that is due.
+    pub fn due(&mut self, now: u64) -> Option<W> {
+        if self.next()? > now {
+            return None;
+        }
+        self.0.pop().map(|Reverse((_, what))| what)
+    }
+}
+
 /// Accepts the next connection. Where that fails, out of descriptors most likely, it is tried again once some may be
 /// free.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
@@ -65,7 +98,7 @@
 
 /// After its sending side is shut a connection is read on for so long, and for so many bytes, so that what was written
 /// is not lost to a reset (RFC 9112, 9.6).
-const LINGER: Duration = Duration::from_millis(500);
+pub const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 1 << 20;
 
 /// Shuts the sending side, reads on within bounds and lets go; `read` bytes count as read already.
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -61,7 +61,7 @@
         let Some(s) = self.sessions.get_mut(&id) else { return };
         let Phase::Open(attempt @ None) = &mut s.phase else { return };
         let Some((life, link)) = link else {
-            return self.pending.push_back(ended(id, server, Outcome::Unsent, Vec::new()));
+            return self.pending.push_back(ended(id, server, Outcome::Unsent, false, Vec::new()));
         };
         s.attempts += 1;
         let (number, until) = (s.attempts, now.saturating_add(wait));
@@ -104,7 +104,7 @@
     pub(super) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome, report: Vec<f64>) {
         let Some(attempt) = self.take_attempt(id) else { return };
         let Some(server) = self.lives.get(&attempt.life).map(|l| l.server) else { return };
-        self.pending.push_back(ended(id, server, outcome, report));
+        self.pending.push_back(ended(id, server, outcome, false, report));
     }
 
     pub(super) fn take_attempt(&mut self, id: SessionId) -> Option<Attempt> {
@@ -121,9 +121,8 @@
     /// Gives up whatever is out for a request, because nobody waits for it any more.
     pub(super) fn give_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
         let Some(attempt) = self.take_attempt(id) else { return };
-        let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
         if attempt.stage == Stage::Sent {
-            self.write(now, attempt.link, ToNode::GiveUp(id, title), out);
+            self.write(now, attempt.link, ToNode::GiveUp(id, self.title(id)), out);
         }
     }
 
@@ -135,11 +134,10 @@
             Stage::Torn => self.attempt_ended(id, Outcome::LinkBroken, Vec::new()),
             Stage::Closing => {}
             Stage::Sent => {
-                let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
                 if let Some(attempt) = self.attempt_mut(id) {
                     attempt.stage = Stage::Closing;
                 }
-                self.write(now, link, ToNode::GiveUp(id, title), out);
+                self.write(now, link, ToNode::GiveUp(id, self.title(id)), out);
                 self.at(now + GRACE, Wake::AttemptClosed(id, number));
                 // A node that does not answer may be gone without a sign.
                 self.doubt_if_quiet(now, life, out);
@@ -162,7 +160,13 @@
     }
 }
 
-/// The end of an attempt whose request goes on.
-pub fn ended(session: SessionId, server: ServerId, outcome: Outcome, report: Vec<f64>) -> Event {
-    Event::Ended { session, server, outcome, settled: false, report }
+/// The end of an attempt, or with `settled` of all that was owed.
+pub fn ended(
+    session: SessionId,
+    server: ServerId,
+    outcome: Outcome,
+    settled: bool,
+    report: Vec<f64>,
+) -> Event {
+    Event::Ended { session, server, outcome, settled, report }
 }
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -40,7 +40,11 @@
 }
 
 impl Core {
+    /// Dials a node; never one that is listed no more, since its address may be another's.
     pub(super) fn dial(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) -> Option<LinkId> {
+        if !self.lives.get(&life).is_some_and(Life::may_dial) {
+            return None;
+        }
         if self.links.len() >= self.bounds.links && !self.evict(out) {
             return None;
         }
@@ -134,18 +138,17 @@
         if let Some((link, _)) = up {
             return self.write(now, link, word, out);
         }
-        if !self.lives.get(&life).is_some_and(Life::may_dial) {
-            return;
-        }
-        let dialling = self.lives.get(&life).and_then(|l| l.links.iter().copied().find(|l| self.dials(*l)));
-        let link = dialling.or_else(|| self.dial(now, life, out));
+        let link = self.link_to_come(now, life, out);
         if let Some(l) = link.and_then(|link| self.links.get_mut(&link)).filter(|l| l.queue.len() < QUEUED) {
             l.queue.push(word);
         }
     }
 
-    pub(super) fn dials(&self, link: LinkId) -> bool {
-        self.links.get(&link).is_some_and(|l| !l.up)
+    /// A connection that is being dialled, else a new one.
+    pub(super) fn link_to_come(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) -> Option<LinkId> {
+        let ids = &self.lives.get(&life)?.links;
+        let dialled = ids.iter().copied().find(|id| self.links.get(id).is_some_and(|l| !l.up));
+        dialled.or_else(|| self.dial(now, life, out))
     }
 
     // ---- questions for load --------------------------------------------------------------------
@@ -167,8 +170,7 @@
         if let Some((link, _)) = up {
             return Some(link);
         }
-        let dialling = self.lives.get(&life).and_then(|l| l.links.iter().copied().find(|l| self.dials(*l)));
-        dialling.or_else(|| self.dial(now, life, out))
+        self.link_to_come(now, life, out)
     }
 
     fn ask_load(&mut self, now: Time, id: ProbeId, link: LinkId, out: &mut Vec<Effect>) {
@@ -289,7 +291,7 @@
             life.heard = now;
         }
         match said {
-            FromNode::Plays(id, body, _) => self.plays(now, link, id, body, out),
+            FromNode::Plays(id, body) => self.plays(now, link, id, body, out),
             FromNode::Ended(id, outcome, report) => self.node_ended(link, id, outcome, report),
             FromNode::Over(id, outcome, report) => self.node_over(now, link, id, outcome, report, out),
             FromNode::Heard(id) => {
@@ -319,7 +321,7 @@
         for (link, life) in old {
             self.close_link(link, out);
             let alone = self.lives.get(&life).is_some_and(|l| l.links.is_empty() && !l.standing.is_empty());
-            if alone && self.lives.get(&life).is_some_and(Life::may_dial) {
+            if alone {
                 self.dial(now, life, out);
             }
         }
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -10,6 +10,7 @@
 //! that are still up, and if nothing comes, its sessions are over.
 
 use super::attempts::Stage;
+use super::standing::CUT;
 use super::*;
 use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
 use pepperhook_changelog::{Entry, State};
@@ -182,9 +183,8 @@
         self.end_torn(life, Outcome::Broken);
         links.into_iter().for_each(|link| self.end_link(link, out));
         for id in standing {
-            let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
             if !past {
-                self.due_at(life, ToNode::Release(id, title, 41));
+                self.due_at(life, ToNode::Release(id, self.title(id), CUT));
             }
             self.over(now, id, Outcome::Broken, Vec::new(), out);
         }
@@ -201,9 +201,14 @@
         words.into_iter().filter(|w| matches!(w, ToNode::Release(..))).for_each(|w| self.due_at(life, w));
     }
 
+    /// Requests whose attempt there waits to learn whether the node lives.
+    fn torn(&self, life: LifeId) -> impl Iterator<Item = SessionId> {
+        let torn = move |s: &Session| matches!(&s.phase, Phase::Open(Some(a)) if a.life == life && a.stage == Stage::Torn);
+        self.sessions.iter().filter(move |(_, s)| torn(s)).map(|(id, _)| *id)
+    }
+
     fn end_torn(&mut self, life: LifeId, outcome: Outcome) {
-        let torn = |s: &Session| matches!(&s.phase, Phase::Open(Some(a)) if a.life == life && a.stage == Stage::Torn);
-        let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| torn(s)).map(|(id, _)| *id).collect();
+        let ids: Vec<_> = self.torn(life).collect();
         ids.into_iter().for_each(|id| self.attempt_ended(id, outcome, Vec::new()));
     }
 
@@ -233,8 +238,7 @@
     fn doubt(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
         let Some(l) = self.lives.get_mut(&life).filter(|l| !l.past && !l.dead) else { return };
         l.doubt.get_or_insert(Doubt { since: now, refused: 0, timed: false });
-        let dialling = l.links.clone().into_iter().any(|link| self.dials(link));
-        if !dialling && self.dial(now, life, out).is_none() {
+        if self.link_to_come(now, life, out).is_none() {
             self.doubt_later(now, life);
         }
     }
@@ -269,10 +273,8 @@
             return;
         }
         let up = l.links.iter().any(|link| self.links.get(link).is_some_and(|l| l.up));
-        let torn = self
-            .sessions
-            .values()
-            .any(|s| matches!(&s.phase, Phase::Open(Some(a)) if a.life == life && a.stage == Stage::Torn));
+        let torn = self.torn(life).next().is_some();
+        let Some(l) = self.lives.get_mut(&life) else { return };
         if l.dead || (l.standing.is_empty() && !torn) {
             l.doubt = None;
             return;
@@ -283,10 +285,7 @@
             // It talks on another connection.
             (doubt.since, doubt.refused) = (now, 0);
         }
-        match how {
-            DialEnd::Refused => doubt.refused += 1,
-            DialEnd::TimedOut | DialEnd::Failed => {}
-        }
+        doubt.refused += u32::from(how == DialEnd::Refused);
         let refused = doubt.refused >= if up { REFUSALS_UP } else { REFUSALS };
         let dead = refused || (how == DialEnd::TimedOut && now - doubt.since >= SILENT);
         if dead {
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -16,9 +16,9 @@
 use links::Link;
 use lives::Life;
 use pepperhook::{Action, Controller, Event, ServerId, SessionId, Settings, SettingsError, Time};
+use pepperhook_net::Timers;
 use pepperhook_parameters::Sockets;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::IpAddr;
 pub use types::*;
 
@@ -40,6 +40,8 @@
     pub open_each: usize,
     /// Requests and standing sessions together.
     pub sessions: usize,
+    /// Connections of viewers.
+    pub viewers: usize,
     /// Connections to nodes.
     pub links: usize,
     /// Ended ids that are remembered.
@@ -54,6 +56,7 @@
             open: 1_024,
             open_each: 256,
             sessions: 16_384,
+            viewers: descriptors / 2,
             links: (descriptors * 2 / 5).max(8),
             remembered: 4_096,
         }
@@ -132,7 +135,7 @@
     ended_order: VecDeque<SessionId>,
     /// Ends that no connection could take yet.
     untold: VecDeque<standing::Untold>,
-    timers: BinaryHeap<Reverse<(Time, Wake)>>,
+    timers: Timers<Wake>,
     pending: VecDeque<Event>,
     next: u64,
 }
@@ -148,6 +151,8 @@
         bounds: Bounds,
         seed: u64,
     ) -> Result<Self, SettingsError> {
+        let mut timers = Timers::default();
+        timers.set(0, Wake::Sweep);
         Ok(Self {
             controller: Controller::new(settings, seed)?,
             bounds,
@@ -162,7 +167,7 @@
             ended: BTreeMap::new(),
             ended_order: VecDeque::new(),
             untold: VecDeque::new(),
-            timers: BinaryHeap::from([Reverse((0, Wake::Sweep))]),
+            timers,
             pending: VecDeque::new(),
             // Numbers of two runs differ, so that nothing late of one is taken for the other's.
             next: seed >> 16,
@@ -192,16 +197,12 @@
     /// The moment of the next timer.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        self.timers.next()
     }
 
     /// Runs what is due.
     pub fn wake(&mut self, now: Time, out: &mut Vec<Effect>) {
-        while let Some(Reverse((at, wake))) = self.timers.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.timers.pop();
+        while let Some(wake) = self.timers.due(now) {
             match wake {
                 Wake::Module(token) => self.pending.push_back(Event::Timer(token)),
                 Wake::AttemptTime(id, number) => self.attempt_time(now, id, number, out),
@@ -229,12 +230,6 @@
         self.sessions.len() - self.open
     }
 
-    /// Connections to nodes, dialled ones included.
-    #[must_use]
-    pub fn links(&self) -> usize {
-        self.links.len()
-    }
-
     /// Hands the module what has happened, until nothing more follows.
     fn run(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut actions = Vec::new();
@@ -250,8 +245,8 @@
         match action {
             Action::SetUp(id, server, wait) => self.set_up(now, id, server, wait, out),
             Action::SetRung(id, rung) => self.set_rung(now, id, rung, out),
-            Action::Refuse(id, advice) => self.answer(now, id, |id| ToViewer::Refused(id, advice), out),
-            Action::Fail(id) => self.answer(now, id, ToViewer::Failed, out),
+            Action::Refuse(id, advice) => self.answer(now, id, ToViewer::Refused(id, advice), out),
+            Action::Fail(id) => self.answer(now, id, ToViewer::Failed(id), out),
             Action::Move(id) => self.shift(now, id, out),
             Action::Probe(server) => self.probe(now, server, out),
             // The platform's change log comes unasked.
@@ -262,7 +257,12 @@
     }
 
     fn at(&mut self, at: Time, wake: Wake) {
-        self.timers.push(Reverse((at, wake)));
+        self.timers.set(at, wake);
+    }
+
+    /// The title of a session that is held.
+    fn title(&self, id: SessionId) -> u64 {
+        self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0)
     }
 
     fn number(&mut self) -> u64 {
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -1,5 +1,6 @@
 //! Viewers' requests: taken, answered exactly once, given up.
 
+use super::attempts::ended;
 use super::*;
 use pepperhook::Outcome;
 
@@ -69,17 +70,11 @@
     }
 
     /// The module's final answer.
-    pub(super) fn answer(
-        &mut self,
-        now: Time,
-        id: SessionId,
-        word: impl FnOnce(SessionId) -> ToViewer,
-        out: &mut Vec<Effect>,
-    ) {
+    pub(super) fn answer(&mut self, now: Time, id: SessionId, word: ToViewer, out: &mut Vec<Effect>) {
         // With an attempt out the module does not answer; should it, nothing may be left running at a node.
         self.give_up(now, id, out);
         if let Some(s) = self.close_request(now, id) {
-            out.push(Effect::Tell(s.conn, word(id)));
+            out.push(Effect::Tell(s.conn, word));
         }
     }
 
@@ -92,13 +87,7 @@
         let Some(s) = self.close_request(now, id) else { return };
         out.push(Effect::Tell(s.conn, ToViewer::Failed(id)));
         self.pending.push_back(match server {
-            Some(server) => Event::Ended {
-                session: id,
-                server,
-                outcome: Outcome::TimedOut,
-                settled: true,
-                report: Vec::new(),
-            },
+            Some(server) => ended(id, server, Outcome::TimedOut, true, Vec::new()),
             None => Event::Left(id),
         });
     }
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -1,5 +1,6 @@
 //! Standing sessions: no connection owns them. Their end is taken from, and told on, any right connection.
 
+use super::attempts::{Stage, ended};
 use super::*;
 use bytes::Bytes;
 use pepperhook::{NoteKind, Outcome};
@@ -11,7 +12,7 @@
 /// Causes of an end as they go to a viewer: played to its end, ended on purpose, cut.
 const ENDED: u16 = 16;
 const CANCELLED: u16 = 31;
-const CUT: u16 = 41;
+pub const CUT: u16 = 41;
 
 /// An end that waits for a connection of its viewer's side.
 pub struct Untold {
@@ -88,8 +89,7 @@
             }
             // It crossed the give-up: it is cut at the node and reaches no viewer.
             Some((Stage::Closing, _)) => {
-                let title = self.sessions.get(&id).map_or(0, |s| s.ask.wish.title.0);
-                self.write(now, link, ToNode::Release(id, title, CANCELLED), out);
+                self.write(now, link, ToNode::Release(id, self.title(id), CANCELLED), out);
                 self.attempt_ended(id, Outcome::TimedOut, Vec::new());
             }
             // A second copy of an answer, or one under an unknown id, is passed over.
@@ -142,7 +142,7 @@
             let word = ToViewer::Over(id, s.ask.wish.title.0, cause);
             self.tell_end(now, s.conn, s.peer, word, out);
         }
-        self.pending.push_back(Event::Ended { session: id, server, outcome, settled: true, report });
+        self.pending.push_back(ended(id, server, outcome, true, report));
     }
 
     /// Ends a standing session for its viewer's sake, at its node too.
@@ -151,14 +151,7 @@
         let life = *life;
         let Some((s, server)) = self.take_standing(now, id) else { return };
         self.tell_node(now, life, ToNode::Release(id, s.ask.wish.title.0, CANCELLED), out);
-        let outcome = Outcome::Cancelled;
-        self.pending.push_back(Event::Ended {
-            session: id,
-            server,
-            outcome,
-            settled: true,
-            report: Vec::new(),
-        });
+        self.pending.push_back(ended(id, server, Outcome::Cancelled, true, Vec::new()));
     }
 
     /// The module moves a session: the viewer is told to come again. The platform ends it at its node then, whose
@@ -230,5 +223,3 @@
         }
     }
 }
-
-use super::attempts::Stage;
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -114,7 +114,7 @@
 }
 
 fn plays(id: u64) -> FromNode {
-    FromNode::Plays(SessionId(id), Bytes::from_static(b"answer"), Vec::new())
+    FromNode::Plays(SessionId(id), Bytes::from_static(b"answer"))
 }
 
 fn dialled(out: &[Effect]) -> Option<(LinkId, std::net::SocketAddr)> {
@@ -423,6 +423,20 @@
     assert!(w.core.probes.is_empty());
 }
 
+/// A question that broke off at a node that had just left the list was asked again at its address, another's by then.
+#[test]
+fn a_node_that_is_listed_no_more_is_dialled_for_nothing() {
+    let mut w = World::new(&[node(1, State::Ready)]);
+    let (link, _) = w.standing(1);
+    let mut out = Vec::new();
+    w.core.probe(w.now, ServerId(1), &mut out);
+    assert!(matches!(out[..], [Effect::Write(l, ToNode::AskLoad(_))] if l == link), "{out:?}");
+    w.tell(Input::Nodes(Vec::new()));
+    let out = w.tell(Input::LinkDown(link));
+    assert!(dialled(&out).is_none() && told(&out, &over(1, 41)), "{out:?}");
+    assert!(w.core.probes.is_empty());
+}
+
 #[test]
 fn maps_are_empty_again_after_many_short_lives() {
     let mut w = World::new(&[]);
--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -76,7 +76,7 @@
         let Some(r) = self.requests.get_mut(id).filter(|r| r.out == Some(link)) else { return };
         r.out = None;
         match said {
-            FromNode::Plays(_, body, _) if !r.dropped => r.ready_answer = Some(body.clone()),
+            FromNode::Plays(_, body) if !r.dropped => r.ready_answer = Some(body.clone()),
             FromNode::Ended(_, Outcome::Full | Outcome::Unsent, _) => r.may_have_run = false,
             _ => {}
         }
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum FromNode {
     /// The session stands; the description of the answer.
-    Plays(SessionId, Bytes, Vec<f64>),
+    Plays(SessionId, Bytes),
     /// The set-up ended otherwise.
     Ended(SessionId, Outcome, Vec<f64>),
     /// A session that stands is over, or a set-up broke.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer;
 mod shell;
 mod viewer;
+mod words;
 
 pub use config::Config;
 pub use shell::run;
--- a/crates/platform/src/node.rs
+++ b/crates/platform/src/node.rs
@@ -1,7 +1,7 @@
 //! The face to nodes.
 
 use crate::core::{FromNode, ProbeId, ToNode};
-use crate::viewer::{ROOT, id, id_text};
+use crate::words::{ROOT, answer, id, id_text, release, request};
 use pepperhook::{NoteKind, Outcome, SessionId};
 use pepperhook_parameters::Sockets;
 use pepperhook_rtsp::{Message, Start};
@@ -18,7 +18,7 @@
     match (&m.start, session) {
         (Start::Response(100..=199), _) => Ok(FromNode::Other),
         (Start::Response(status), Some(session)) => Ok(match (number, *status) {
-            ("1", 200) => FromNode::Plays(SessionId(session), m.body.clone(), report().unwrap_or_default()),
+            ("1", 200) => FromNode::Plays(SessionId(session), m.body.clone()),
             ("1", status) => {
                 FromNode::Ended(SessionId(session), outcome(status), report().unwrap_or_default())
             }
@@ -81,25 +81,19 @@
 
 /// What a node is told, as a message.
 pub fn write(word: &ToNode, known: &Sockets) -> Message {
-    let to = |method, title: &u64, number: u64, id: &SessionId| {
-        let uri = format!("{ROOT}{}", id_text(*title));
-        Message::request(method, uri).with("CSeq", number).with("Session", id_text(id.0))
-    };
     match word {
         ToNode::SetUp { id, title, class, wait_ms, rung, body } => {
             let class = known.classes.get(usize::from(*class)).map_or("", String::as_str);
-            let m = to("SETUP", title, 1, id).with("Priority-Class", class);
+            let m = request("SETUP", title, 1, id).with("Priority-Class", class);
             m.with("Expires-Ms", wait_ms).with("X-Rung", rung).body(body.clone())
         }
-        ToNode::GiveUp(id, title) => to("TEARDOWN", title, 2, id),
-        ToNode::Release(id, title, cause) => {
-            to("TEARDOWN", title, 2, id).with("Reason", format!("cause={cause}"))
-        }
-        ToNode::Rung(id, title, rung) => to("SET_PARAMETER", title, 4, id).with("X-Rung", rung),
+        ToNode::GiveUp(id, title) => request("TEARDOWN", title, 2, id),
+        ToNode::Release(id, title, cause) => release(title, id, cause),
+        ToNode::Rung(id, title, rung) => request("SET_PARAMETER", title, 4, id).with("X-Rung", rung),
         ToNode::AskLoad(probe) => {
             let m = Message::request("OPTIONS", format!("{ROOT}load"));
             m.with("CSeq", 3).with("Session", id_text(probe.0))
         }
-        ToNode::Heard(id) => Message::response(200).with("CSeq", 2).with("Session", id_text(id.0)),
+        ToNode::Heard(id) => answer(200, 2, id),
     }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -54,6 +54,7 @@
     next: Cell<u64>,
     warned: RefCell<HashMap<&'static str, Instant>>,
     wake: Notify,
+    idle: Notify,
 }
 
 impl Shell {
@@ -93,14 +94,12 @@
                         peer.close();
                     }
                 }
-                Effect::Log(kind, line) => {
-                    if self.may_warn(kind) {
-                        info!(event = kind, "{line}");
-                    }
-                }
+                // The module and the core bound their own lines.
+                Effect::Log(kind, line) => info!(event = kind, "{line}"),
             }
         }
         self.wake.notify_one();
+        self.idle.notify_one();
     }
 
     /// Lines that one cause could repeat come once in a while.
@@ -179,7 +178,7 @@
         let patience = Patience { first: Some(FIRST_WORD), message: WHOLE };
         let end = peer
             .pump(patience, |m| {
-                match viewer::read(&m, &self.sockets, self.cells, true) {
+                match viewer::read(&m, &self.sockets, self.cells) {
                     Ok(FromViewer::Ask(ask)) => self.drive(Input::Ask(id, *ask)),
                     Ok(FromViewer::End(session)) => self.drive(Input::End(id, session)),
                     Ok(FromViewer::Test(answer)) => peer.send(&answer),
@@ -308,11 +307,12 @@
         log_moved: Notify::new(),
         viewers: RefCell::default(),
         nodes: RefCell::default(),
-        most_viewers: config.descriptors / 2,
+        most_viewers: bounds.viewers,
         lingering: Cell::new(0),
         next: Cell::new(1),
         warned: RefCell::default(),
         wake: Notify::new(),
+        idle: Notify::new(),
     });
     shell.take_list();
     let listener = TcpListener::bind(config.listen)
@@ -336,7 +336,7 @@
     tokio::time::sleep(STILL_COMING).await;
     let idle = async {
         while shell.core.borrow().open() > 0 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            shell.idle.notified().await;
         }
     };
     let _ = tokio::time::timeout(longest, idle).await;
--- a/crates/platform/src/viewer.rs
+++ b/crates/platform/src/viewer.rs
@@ -1,12 +1,11 @@
 //! The face to viewers: what they may send, checked, and what they are told.
 
 use crate::core::{Ask, ToViewer};
+use crate::words::{self, ROOT, answer, release, request};
 use pepperhook::{ClassId, ServerId, SessionId, TenantId, Time, TitleId, ViewerKey, Wish};
 use pepperhook_parameters::Sockets;
 use pepperhook_rtsp::{Message, Start};
 
-/// Where titles are.
-pub const ROOT: &str = "rtsp://media/";
 /// A viewer waits at most so many times its class's deadline; more is a figure out of range.
 const PATIENCE: u64 = 4;
 /// A session's hint is at most a week, milliseconds.
@@ -27,17 +26,6 @@
 /// A message that cannot be used, and the answer to it.
 pub struct Bad(pub Message);
 
-/// An id as 16 hex digits.
-pub fn id_text(id: u64) -> String {
-    format!("{id:016x}")
-}
-
-/// Reads 16 lower-case hex digits, so that what is written again is what was read.
-pub fn id(text: &str) -> Option<u64> {
-    let plain = text.len() == 16 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
-    plain.then(|| u64::from_str_radix(text, 16).ok()).flatten()
-}
-
 /// A response that carries on the number and the id of a request, as far as they can be repeated.
 fn reply(status: u16, to: &Message) -> Message {
     let plain = |v: &&str| v.len() <= 32 && v.bytes().all(|b| b.is_ascii_alphanumeric());
@@ -50,16 +38,16 @@
     reply
 }
 
-/// Reads a message of a viewer. `ready` answers tests.
-pub fn read(m: &Message, known: &Sockets, cells: u32, ready: bool) -> Result<FromViewer, Bad> {
+/// Reads a message of a viewer.
+pub fn read(m: &Message, known: &Sockets, cells: u32) -> Result<FromViewer, Bad> {
     let Start::Request(method, uri) = &m.start else { return Ok(FromViewer::Nothing) };
     let bad = |status| Err(Bad(reply(status, m)));
     if !uri.starts_with(ROOT) || m.repeats("Session") || m.repeats("CSeq") {
         return bad(400);
     }
-    let session = m.field("Session").and_then(id).map(SessionId);
+    let session = m.field("Session").and_then(words::id).map(SessionId);
     match (method.as_str(), session) {
-        ("OPTIONS", _) => Ok(FromViewer::Test(reply(if ready { 200 } else { 503 }, m))),
+        ("OPTIONS", _) => Ok(FromViewer::Test(reply(200, m))),
         ("SETUP", Some(session)) => match ask(m, uri, session, known, cells) {
             Some(ask) => Ok(FromViewer::Ask(Box::new(ask))),
             None => bad(400),
@@ -72,7 +60,7 @@
 }
 
 fn ask(m: &Message, uri: &str, id: SessionId, known: &Sockets, cells: u32) -> Option<Ask> {
-    let title = crate::viewer::id(&uri[ROOT.len()..])?;
+    let title = words::id(&uri[ROOT.len()..])?;
     let class = m.field("Priority-Class")?;
     let class = known.classes.iter().position(|c| c == class)?;
     let wait: u64 = m.field("Expires-Ms").filter(|v| v.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()?;
@@ -90,9 +78,9 @@
             "home" => home = Some(figure().filter(|h| *h < f64::from(cells))?),
             "copies" => copies = Some(figure().filter(|c| *c <= f64::from(cells))?),
             "top" => top = Some(figure().filter(|t| *t < 256.0)?),
-            "viewer" => viewer = Some(crate::viewer::id(value)?),
+            "viewer" => viewer = Some(words::id(value)?),
             "again" => again = value == "1",
-            "at" => at = Some(server(value)?),
+            "at" => at = Some(ServerId(pepperhook_changelog::node_id(value)?)),
             _ => {}
         }
     }
@@ -115,33 +103,17 @@
     Some(Ask { id, wish, body: m.body.clone(), at })
 }
 
-fn server(text: &str) -> Option<ServerId> {
-    let digits =
-        text.strip_prefix("s-").filter(|d| d.len() == 8 && d.bytes().all(|b| b.is_ascii_hexdigit()))?;
-    u32::from_str_radix(digits, 16).ok().map(ServerId)
-}
-
 /// What a viewer is told, as a message.
 pub fn write(word: &ToViewer) -> Message {
-    let answer =
-        |status, id: &SessionId| Message::response(status).with("CSeq", 1).with("Session", id_text(id.0));
-    let request = |method, title: &u64, id: &SessionId| {
-        let uri = format!("{ROOT}{}", id_text(*title));
-        Message::request(method, uri).with("CSeq", 2).with("Session", id_text(id.0))
-    };
     match word {
-        ToViewer::Plays(id, body) => answer(200, id).body(body.clone()),
-        ToViewer::Refused(id, advice) => match advice {
-            Some(after) => answer(503, id).with("P-Back-Off", after / 1_000_000),
-            None => answer(503, id),
-        },
-        ToViewer::Failed(id) => answer(500, id),
-        ToViewer::Conflict(id) => answer(455, id),
-        ToViewer::Over(id, title, cause) => {
-            request("TEARDOWN", title, id).with("Reason", format!("cause={cause}"))
-        }
-        ToViewer::Move(id, title) => request("REDIRECT", title, id),
-        ToViewer::Heard(id) => Message::response(200).with("CSeq", 2).with("Session", id_text(id.0)),
-        ToViewer::Unknown(id) => Message::response(454).with("CSeq", 2).with("Session", id_text(id.0)),
+        ToViewer::Plays(id, body) => answer(200, 1, id).body(body.clone()),
+        ToViewer::Refused(id, Some(after)) => answer(503, 1, id).with("P-Back-Off", after / 1_000_000),
+        ToViewer::Refused(id, None) => answer(503, 1, id),
+        ToViewer::Failed(id) => answer(500, 1, id),
+        ToViewer::Conflict(id) => answer(455, 1, id),
+        ToViewer::Over(id, title, cause) => release(title, id, cause),
+        ToViewer::Move(id, title) => request("REDIRECT", title, 2, id),
+        ToViewer::Heard(id) => answer(200, 2, id),
+        ToViewer::Unknown(id) => answer(454, 2, id),
     }
 }
