Where new connections are priced, a holder that one leads to is preferred

The guess was the watch over nodes with sessions, whose dials come in step. So it is set-ups that each go over a connection of their own: `place` in src/decide.rs ranks holders at the same rung by lightness alone, a front of 40 set-ups meets 200 nodes, and four of five set-ups go to one that it has no connection to.

Where settings name a price of new connections, it is taken off a holder's worth unless a set-up went there within the time after which connections idle out. Without a price the decisions are bit for bit as before (tests/unchanged.rs).

--- a/crates/parameters/src/lib.rs
+++ b/crates/parameters/src/lib.rs
@@ -144,7 +144,13 @@
         max_attempts: small(limits, "max_attempts")?,
         list_on_request: v.get("membership_mode").and_then(Value::as_str) == Some("ask"),
         step: or(v, "step_ns", 0.0) as u64,
-        prices: Prices { moved: price("moves"), cross_zone: price("cross_zone"), probe: price("probe") },
+        idle: or(limits, "conn_idle_ns", 0.0) as u64,
+        prices: Prices {
+            moved: price("moves"),
+            cross_zone: price("cross_zone"),
+            probe: price("probe"),
+            handshake: price("handshake"),
+        },
         rules: Rules {
             cold_share: number(rules, "start_capacity")?,
             cold: whole(rules, "cold_ns")?,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -601,6 +601,7 @@
             advice,
             max_advice: f.time("max-advice").unwrap_or(SECOND),
             max_attempts: f.parsed("max-attempts", "whole number").unwrap_or(3),
+            idle: 0,
             list_on_request: false,
             step: f.time("step").unwrap_or(MS),
             prices,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -654,8 +654,13 @@
             let alerted = self.racks[server.rack as usize].alert_until > now;
             let sound = self.sound(now, server);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
+            // Departure, only where new connections are priced: a holder that a set-up went to before its
+            // connection idles out is preferred at the same rung. Fronts with little traffic each open
+            // one to nearly every server else; a front whose few servers fill still goes by the rung.
+            let open = server.sent_at.is_some_and(|t| t + self.set.idle > now);
+            let handshake = if open { 0.0 } else { self.set.prices.handshake };
             let cold = if self.warmth(now, server) < 1.0 { 1.0 } else { 0.0 };
-            let worth = self.set.ladder[usize::from(rung)].worth - crossing;
+            let worth = self.set.ladder[usize::from(rung)].worth - crossing - handshake;
             // Departure: viewers of a live title gather where its stream of that rung already plays.
             let joins = self.added_kb(server, s, rung) < rate(&self.set, s.class, rung);
             // The fewest sessions for its size as inferred from what is seen, else the fewest own.
@@ -980,6 +985,7 @@
         if let Some(server) = self.servers.get_mut(&at) {
             server.sessions.insert(id);
             server.sends.push(now, 1.0, self.set.rules.cold);
+            server.sent_at = Some(now);
         }
         self.resum(now, at);
         out.push(Action::SetUp(id, at, wait));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -147,6 +147,8 @@
     pub cross_zone: f64,
     /// A probe.
     pub probe: f64,
+    /// A new connection that a set-up goes over.
+    pub handshake: f64,
 }
 
 /// What a front end is told when it starts.
@@ -198,6 +200,8 @@
     pub list_on_request: bool,
     /// The shortest time between two events.
     pub step: Time,
+    /// A connection to a server lasts so long unused; 0 if that is not known.
+    pub idle: Time,
     /// Prices.
     pub prices: Prices,
     /// Figures of the rules.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
 //!     kind_streams: vec![20.0], racks: 1, cells: 1, uplink_kb: 6000.0, kb_per_weight: 6000.0,
 //!     all_links_kb: 6000.0, join: 1.0, refuses_from: 0.0, seen_after: 500_000_000, switch_cost_s: 0.5,
 //!     gauges: vec![Gauge::Link], probes: false, advice: true, max_advice: 500_000_000, max_attempts: 3,
-//!     list_on_request: false, step: 10_000_000, prices: Prices::default(),
+//!     list_on_request: false, step: 10_000_000, idle: 0, prices: Prices::default(),
 //!     rules: Rules { cold_share: 0.4, cold: 12_000_000_000, fall_multiple: 2.5,
 //!                    fall_window: 2_000_000_000, budget: None },
 //! };
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     /// Requests for a title that it holds.
     pub wanted: SlidingSum,
     pub sends: SlidingSum,
+    /// When the last set-up was sent there.
+    pub sent_at: Option<Time>,
 }
 
 #[derive(Default)]
@@ -114,6 +116,7 @@
             gone_at: None,
             wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
+            sent_at: None,
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,7 +45,8 @@
         max_attempts: 3,
         list_on_request: false,
         step: 10 * MS,
-        prices: Prices { moved: 0.05, cross_zone: 0.04, probe: 0.0 },
+        idle: 0,
+        prices: Prices { moved: 0.05, cross_zone: 0.04, probe: 0.0, handshake: 0.0 },
         rules: Rules { cold_share: 0.4, cold: 12 * S, fall_multiple: 2.5, fall_window: 2 * S, budget: None },
     }
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -375,3 +375,37 @@
         assert_eq!(lowered(&f.pass(S)).contains(&2), told);
     }
 }
+
+/// Hundreds of fronts with little traffic each went to another holder nearly every time, and each time over a new
+/// connection.
+#[test]
+fn where_new_connections_are_priced_a_holder_that_one_leads_to_is_preferred_at_the_same_rung() {
+    let holders: Vec<_> = (0..4).map(|i| server(i + 1, i)).collect();
+    for (price, servers) in [(0.08, 1), (0.0, 4)] {
+        let mut set = settings();
+        (set.prices.handshake, set.idle) = (price, 15 * S);
+        let mut f = Front::new(set, &holders);
+        let mut used: Vec<_> = (1..=8).map(|n| f.play(n, Wish { top: 0.0, ..wish(n, 0.0, 4.0) }).0).collect();
+        used.sort();
+        used.dedup();
+        assert_eq!(used.len(), servers, "at a price of {price}");
+    }
+}
+
+#[test]
+fn a_connection_that_idled_out_and_one_to_a_lower_rung_are_not_preferred() {
+    for full in [false, true] {
+        let mut set = settings();
+        (set.prices.handshake, set.idle) = (0.08, 15 * S);
+        let mut f = Front::new(set, &[server(1, 0), server(2, 1)]);
+        let (at, _) = f.play(1, wish(1, 0.0, 2.0));
+        if full {
+            f.now += S;
+            f.note(1, at.0, NoteKind::LinkUse, 0.75);
+        } else {
+            f.now += 16 * S;
+        }
+        let (other, _) = f.play(2, wish(2, 0.0, 2.0));
+        assert_ne!(other, at, "full: {full}");
+    }
+}
