The watch over nodes uses the rule's 8 s, and each connection twice

The time that a node may say nothing is now what the rule's 8 s leave, less an eighth by draw. A connection that can be spared is shut on this side, and the node's end of it is a sign of life, so that each connection gives two. Idle ones are kept for four fifths of the idle time, in which set-ups find them again, and those that carried a set-up are used and kept before others. A node that refuses dials while another connection is up is asked there once and lives if it answers; before, five refusals held it to be dead.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -79,7 +79,7 @@
             return;
         };
         let (life, link, until) = (*life, *link, *until);
-        if !self.links.get(&link).is_some_and(|l| l.up) {
+        if !self.links.get(&link).is_some_and(Link::up) {
             return;
         }
         if !self.is_ready(life) || until <= now {
@@ -97,6 +97,9 @@
         if let Some(attempt) = self.attempt_mut(id) {
             attempt.stage = Stage::Sent;
         }
+        if let Some(l) = self.links.get_mut(&link) {
+            l.carried = true;
+        }
         self.write(now, link, word, out);
     }
 
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -2,6 +2,7 @@
 //! spoils one set-up; standing sessions need none, but one is kept where some stand, so that their end is heard.
 
 use super::attempts::Stage;
+use super::lives::UNHEARD;
 use super::*;
 use pepperhook::Outcome;
 
@@ -10,12 +11,23 @@
 /// A dial that failed on its way is made again, so many times in all.
 const DIALS: u8 = 2;
 
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Dialled,
+    Up,
+    /// Its sending side was shut then. Nothing more goes over it; the node's own end of it is a sign of life.
+    Shut(Time),
+}
+
 /// A connection to a node.
 pub struct Link {
     pub life: LifeId,
-    pub up: bool,
+    pub way: Way,
     /// When it was dialled.
     pub opened: Time,
+    /// A set-up has gone over it: it is kept before others, since a node's work for a new connection is done with it.
+    pub carried: bool,
     /// When something last went over it, either way.
     pub used: Time,
     /// Set-ups on it, or waiting for it.
@@ -25,6 +37,14 @@
 }
 
 impl Link {
+    pub fn up(&self) -> bool {
+        self.way == Way::Up
+    }
+
+    pub fn is_shut(&self) -> bool {
+        matches!(self.way, Way::Shut(_))
+    }
+
     fn idle(&self) -> bool {
         self.open.is_empty() && self.probes.is_empty() && self.queue.is_empty()
     }
@@ -54,8 +74,9 @@
         out.push(Effect::Dial(link, l.address.into()));
         let new = Link {
             life,
-            up: false,
+            way: Way::Dialled,
             opened: now,
+            carried: false,
             used: now,
             open: BTreeSet::new(),
             probes: BTreeSet::new(),
@@ -69,7 +90,9 @@
     fn evict(&mut self, out: &mut Vec<Effect>) -> bool {
         let spare = |l: &Link| {
             let life = self.lives.get(&l.life);
-            l.up && l.idle() && life.is_none_or(|n| n.links.len() > 1 || n.standing.is_empty())
+            l.way != Way::Dialled
+                && l.idle()
+                && life.is_none_or(|n| n.links.len() > 1 || n.standing.is_empty())
         };
         let victim =
             self.links.iter().filter(|(_, l)| spare(l)).min_by_key(|(_, l)| l.used).map(|(id, _)| *id);
@@ -95,17 +118,19 @@
         Some(l)
     }
 
-    /// Nodes close connections that are idle; one that is near that is not used for what must arrive.
+    /// Nodes close connections that are idle; one that is near that is not used for what must arrive. The last fifth of
+    /// the time is far longer than any word is on its way.
     fn fresh(&self, now: Time, link: &Link) -> bool {
-        link.used + self.sockets.idle / 5 * 3 > now
+        link.used + self.sockets.idle / 5 * 4 > now
     }
 
     fn ups(&self, life: LifeId) -> impl Iterator<Item = (LinkId, &Link)> {
         let ids = self.lives.get(&life).into_iter().flat_map(|l| &l.links);
-        ids.filter_map(|id| self.links.get(id).map(|l| (*id, l))).filter(|(_, l)| l.up)
+        ids.filter_map(|id| self.links.get(id).map(|l| (*id, l))).filter(|(_, l)| l.up())
     }
 
-    /// A connection for a set-up: one that carries none and was used last, else a new one, else one that carries few.
+    /// A connection for a set-up: one that carries none now and has carried some, was used last; else a new one, else one
+    /// that carries few.
     pub(super) fn link_for_set_up(
         &mut self,
         now: Time,
@@ -113,7 +138,7 @@
         out: &mut Vec<Effect>,
     ) -> Option<LinkId> {
         let free = self.ups(life).filter(|(_, l)| l.open.is_empty() && self.fresh(now, l));
-        if let Some((link, _)) = free.max_by_key(|(_, l)| l.used) {
+        if let Some((link, _)) = free.max_by_key(|(_, l)| (l.carried, l.used)) {
             return Some(link);
         }
         if let Some(link) = self.dial(now, life, out) {
@@ -121,12 +146,12 @@
         }
         let ids = self.lives.get(&life).into_iter().flat_map(|l| &l.links);
         let some = ids.filter_map(|id| self.links.get(id).map(|l| (*id, l)));
-        let room = some.filter(|(_, l)| l.open.len() < self.sockets.streams);
-        room.min_by_key(|(_, l)| (!l.up, l.open.len())).map(|(link, _)| link)
+        let room = some.filter(|(_, l)| !l.is_shut() && l.open.len() < self.sockets.streams);
+        room.min_by_key(|(_, l)| (!l.up(), l.open.len())).map(|(link, _)| link)
     }
 
     pub(super) fn write(&mut self, now: Time, link: LinkId, word: ToNode, out: &mut Vec<Effect>) {
-        if let Some(l) = self.links.get_mut(&link).filter(|l| l.up) {
+        if let Some(l) = self.links.get_mut(&link).filter(|l| l.up()) {
             l.used = now;
             out.push(Effect::Write(link, word));
         }
@@ -134,7 +159,7 @@
 
     /// What concerns a standing session goes over any connection to its node.
     pub(super) fn tell_node(&mut self, now: Time, life: LifeId, word: ToNode, out: &mut Vec<Effect>) {
-        let up = self.ups(life).filter(|(_, l)| self.fresh(now, l)).max_by_key(|(_, l)| l.used);
+        let up = self.ups(life).filter(|(_, l)| self.fresh(now, l)).max_by_key(|(_, l)| (l.carried, l.used));
         if let Some((link, _)) = up {
             return self.write(now, link, word, out);
         }
@@ -147,7 +172,8 @@
     /// A connection that is being dialled, else a new one.
     pub(super) fn link_to_come(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) -> Option<LinkId> {
         let ids = &self.lives.get(&life)?.links;
-        let dialled = ids.iter().copied().find(|id| self.links.get(id).is_some_and(|l| !l.up));
+        let dialled =
+            ids.iter().copied().find(|id| self.links.get(id).is_some_and(|l| l.way == Way::Dialled));
         dialled.or_else(|| self.dial(now, life, out))
     }
 
@@ -215,7 +241,7 @@
 
     pub(super) fn link_up(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
         let Some(l) = self.links.get_mut(&link) else { return out.push(Effect::Close(link)) };
-        (l.up, l.used) = (true, now);
+        (l.way, l.used) = (Way::Up, now);
         let (life, queue) = (l.life, std::mem::take(&mut l.queue));
         let (open, probes) = (l.open.clone(), l.probes.clone());
         self.lives_on(now, life, link, out);
@@ -309,20 +335,60 @@
         }
     }
 
-    /// Idle connections are closed before the nodes close them; where sessions stand, another takes the place of the
+    /// Shuts the sending side of a connection that carries nothing. A process that runs ends its own side at once, so
+    /// that a connection which has served its time tells once more that its node lives.
+    pub(super) fn shut(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
+        let Some(l) = self.links.get_mut(&link).filter(|l| l.up()) else { return };
+        l.way = Way::Shut(now);
+        out.push(Effect::Shut(link));
+        self.at(now + UNHEARD, Wake::Shut(link));
+    }
+
+    /// The node ended it: a process that is no more would have reset it, or said nothing.
+    pub(super) fn link_shut(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
+        if !self.links.get(&link).is_some_and(Link::is_shut) {
+            return self.link_down(now, link, out);
+        }
+        let Some(life) = self.drop_link(link).map(|l| l.life) else { return };
+        let Some(l) = self.lives.get_mut(&life) else { return };
+        l.heard = now;
+        if l.links.is_empty() {
+            self.broke(now, life, false, out);
+        }
+    }
+
+    /// A node that does not end it stalls, or is gone without a sign: it is dialled.
+    pub(super) fn shut_unanswered(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
+        let Some(Link { life, way: Way::Shut(since), .. }) = self.links.get(&link) else { return };
+        let (life, since) = (*life, *since);
+        self.close_link(link, out);
+        if self.lives.get(&life).is_some_and(|l| l.heard <= since && !l.standing.is_empty()) {
+            self.doubt_since(now, since, life, out);
+        }
+    }
+
+    /// The connection of a node that carries nothing and was used longest ago, if there is another that is up.
+    pub(super) fn spare(&self, life: LifeId) -> Option<LinkId> {
+        let mut idle = self.ups(life).filter(|(_, l)| l.idle());
+        let first = idle.by_ref().min_by_key(|(_, l)| (l.carried, l.used));
+        first.filter(|_| self.ups(life).count() > 1).map(|(link, _)| link)
+    }
+
+    /// Idle connections are ended before the nodes close them; where sessions stand, another takes the place of the
     /// last one, and brings what could not be told meanwhile.
     pub(super) fn sweep_links(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let old: Vec<_> = self
-            .links
-            .iter()
-            .filter(|(_, l)| l.up && l.idle() && !self.fresh(now, l))
-            .map(|(id, l)| (*id, l.life))
-            .collect();
+        let old = |l: &Link| l.up() && l.idle() && !self.fresh(now, l);
+        let old: Vec<_> = self.links.iter().filter(|(_, l)| old(l)).map(|(id, l)| (*id, l.life)).collect();
         for (link, life) in old {
-            self.close_link(link, out);
-            let alone = self.lives.get(&life).is_some_and(|l| l.links.is_empty() && !l.standing.is_empty());
-            if alone {
-                self.dial(now, life, out);
+            if self.lives.get(&life).is_none_or(|l| l.standing.is_empty()) {
+                self.close_link(link, out);
+                continue;
+            }
+            // The last one is ended only once another is up: the node may take no more.
+            if self.ups(life).count() > 1 {
+                self.shut(now, link, out);
+            } else {
+                self.link_to_come(now, life, out);
             }
         }
     }
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -6,6 +6,10 @@
 //! for [`SILENT`] with dials that run out, end the sessions that stand there. A connection that is still up speaks for
 //! the node only if something came on it since the doubt began.
 //!
+//! Hundreds of front ends watch the same nodes, and each connection is work for a node. So the watch goes by the time
+//! that the rule on releases leaves, not by a shorter one, and uses each connection twice: its coming up is one sign of
+//! life, and the node's end of it, once this side has shut its own, another.
+//!
 //! A node that the list names no more is not dialled, since its address may be another's: it is asked on the connections
 //! that are still up, and if nothing comes, its sessions are over.
 
@@ -26,11 +30,11 @@
 /// Between two dials of a node in doubt.
 const AGAIN: Time = 100 * MS;
 /// Dials that run out show a vanished machine after so long.
-const SILENT: Time = 2_500 * MS;
-/// A node with standing sessions that says nothing for so long is dialled.
-const QUIET: Time = 2_000 * MS;
-/// After a time-out a node is in doubt if it has said nothing for so long.
-const UNHEARD: Time = 500 * MS;
+const SILENT: Time = 2_000 * MS;
+/// Left over of the time within which an end must be told: the way to the viewer, and a late turn of this process.
+const MARGIN: Time = 250 * MS;
+/// After a time-out a node is in doubt if it has said nothing for so long; one that was asked for a sign has so long.
+pub const UNHEARD: Time = 500 * MS;
 /// Sessions that were released without their node's word and may stand there still, at most.
 const CUTS: usize = 512;
 
@@ -58,6 +62,8 @@
 struct Doubt {
     since: Time,
     refused: u32,
+    /// It was asked on a connection that is still up.
+    asked: bool,
     /// The next dial has its time already.
     timed: bool,
 }
@@ -236,8 +242,12 @@
     }
 
     fn doubt(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        self.doubt_since(now, now, life, out);
+    }
+
+    pub(super) fn doubt_since(&mut self, now: Time, since: Time, life: LifeId, out: &mut Vec<Effect>) {
         let Some(l) = self.lives.get_mut(&life).filter(|l| !l.past && !l.dead) else { return };
-        l.doubt.get_or_insert(Doubt { since: now, refused: 0, timed: false });
+        l.doubt.get_or_insert(Doubt { since, refused: 0, asked: false, timed: false });
         if self.link_to_come(now, life, out).is_none() {
             self.doubt_later(now, life);
         }
@@ -272,7 +282,7 @@
             }
             return;
         }
-        let up = l.links.iter().any(|link| self.links.get(link).is_some_and(|l| l.up));
+        let up = l.links.iter().any(|link| self.links.get(link).is_some_and(Link::up));
         let torn = self.torn(life).next().is_some();
         let Some(l) = self.lives.get_mut(&life) else { return };
         if l.dead || (l.standing.is_empty() && !torn) {
@@ -280,12 +290,14 @@
             return;
         }
         let since = if how == DialEnd::TimedOut { now.saturating_sub(dial) } else { now };
-        let doubt = l.doubt.get_or_insert(Doubt { since, refused: 0, timed: false });
+        let doubt = l.doubt.get_or_insert(Doubt { since, refused: 0, asked: false, timed: false });
         if l.heard > doubt.since {
-            // It talks on another connection.
-            (doubt.since, doubt.refused) = (now, 0);
+            // It talks on another connection, and only takes no new one.
+            l.doubt = None;
+            return self.end_torn(life, Outcome::LinkBroken);
         }
         doubt.refused += u32::from(how == DialEnd::Refused);
+        let ask = up && !std::mem::replace(&mut doubt.asked, true);
         let refused = doubt.refused >= if up { REFUSALS_UP } else { REFUSALS };
         let dead = refused || (how == DialEnd::TimedOut && now - doubt.since >= SILENT);
         if dead {
@@ -294,6 +306,9 @@
             out.push(Effect::Log("node-dead", line));
             self.bury(now, life, out);
         } else {
+            if ask {
+                self.ask_sign(now, life, out);
+            }
             self.doubt_later(now, life);
         }
     }
@@ -306,18 +321,47 @@
             Some(at) if l.heard < at => return self.bury(now, life, out),
             _ => l.asked = Some(now),
         }
+        self.ask_sign(now, life, out);
+    }
+
+    /// Asks on each connection that is up; whatever comes back is a sign of life.
+    fn ask_sign(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        let Some(l) = self.lives.get(&life) else { return };
         for link in l.links.clone() {
             let question = ProbeId(self.number());
             self.write(now, link, ToNode::AskLoad(question), out);
         }
     }
 
+    /// A node with standing sessions may say nothing for so long: what is left of the time for telling an end when a
+    /// vanished machine has been found out. Less up to an eighth that each front and node draw anew each time, so that
+    /// fronts which heard a node at one moment do not all ask it at one moment.
+    fn patience(&self, life: LifeId, heard: Time) -> Time {
+        let found = SWEEP + SILENT + self.sockets.dial + AGAIN + MARGIN;
+        let all = TOLD_WITHIN.saturating_sub(found);
+        let draw = (life.0 ^ heard).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56;
+        all - all / 8 * draw / 256
+    }
+
+    /// Looks for a sign of life of a node that has said nothing for long: the end of a connection that can be spared,
+    /// else a new one.
+    fn look(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        match self.spare(life) {
+            Some(link) => self.shut(now, link, out),
+            None => self.doubt(now, life, out),
+        }
+    }
+
     pub(super) fn sweep_lives(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let quiet = |l: &Life| {
-            !l.past && !l.dead && !l.standing.is_empty() && (l.links.is_empty() || l.heard + QUIET < now)
+        let shut = |l: &Life| l.links.iter().any(|id| self.links.get(id).is_some_and(Link::is_shut));
+        let quiet = |id: &LifeId, l: &Life| {
+            let asked = l.doubt.is_some() || shut(l);
+            l.links.is_empty() || (!asked && l.heard + self.patience(*id, l.heard) < now)
         };
-        let dial: Vec<_> = self.lives.iter().filter(|(_, l)| quiet(l)).map(|(id, _)| *id).collect();
-        dial.into_iter().for_each(|life| self.doubt(now, life, out));
+        let watched = |l: &Life| !l.past && !l.dead && !l.standing.is_empty();
+        let all = self.lives.iter().filter(|(id, l)| watched(l) && quiet(id, l));
+        let look: Vec<_> = all.map(|(id, _)| *id).collect();
+        look.into_iter().for_each(|life| self.look(now, life, out));
         let past = |l: &Life| l.past && !l.standing.is_empty();
         let past: Vec<_> = self.lives.iter().filter(|(_, l)| past(l)).map(|(id, _)| *id).collect();
         past.into_iter().for_each(|life| self.ask_past(now, life, out));
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -30,6 +30,8 @@
 const BACKSTOP: Time = 2 * MS;
 /// Ids of requests and sessions that ended are remembered so long, so that what crosses their end is understood.
 const REMEMBERED: Time = 10_000 * MS;
+/// What is over must be told within so long of its end, where its node cannot say so (the protocol's rule on releases).
+const TOLD_WITHIN: Time = 8_000 * MS;
 
 /// Bounds of what the core holds.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +82,8 @@
     ProbeTime(ProbeId),
     /// A node in doubt is dialled again.
     Doubt(LifeId),
+    /// A connection that is being ended in order has waited long enough for its node.
+    Shut(LinkId),
     /// A look at what grows old.
     Sweep,
 }
@@ -188,6 +192,7 @@
             Input::LinkUp(link) => self.link_up(now, link, out),
             Input::LinkFailed(link, how) => self.link_failed(now, link, how, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
+            Input::LinkShut(link) => self.link_shut(now, link, out),
             Input::Node(link, said) => self.node(now, link, said, out),
             Input::Nodes(entries) => self.nodes(now, &entries, out),
         }
@@ -212,6 +217,7 @@
                 Wake::Moved(id) => self.cut(now, id, out),
                 Wake::ProbeTime(id) => self.probe_time(now, id, out),
                 Wake::Doubt(life) => self.doubt_again(now, life, out),
+                Wake::Shut(link) => self.shut_unanswered(now, link, out),
                 Wake::Sweep => self.sweep(now, out),
             }
             self.run(now, out);
--- /dev/null
+++ b/crates/platform/src/core/tests/watch.rs
@@ -0,0 +1,223 @@
+//! The watch over nodes with standing sessions, against a scripted node: what it costs, and both of its errors by kind
+//! of fault. `cargo test -p pepperhook-platform watch -- --nocapture` prints the table of `docs/platform.md`.
+
+use super::*;
+use std::collections::VecDeque;
+
+/// Way to the node, or back.
+const WAY: Time = 2 * MS;
+/// A dial to a machine that says nothing is given up after this (the settings of these tests).
+const DIAL: Time = 250 * MS;
+
+/// What befalls the node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Nothing,
+    /// The process dies: connections are reset, dials refused.
+    Reset,
+    /// The machine vanishes: open connections stay quiet, dials run out.
+    Silence,
+    /// The process stands still: the system goes on taking connections, nothing is read or ended.
+    Stall(Time),
+    /// It takes no new connection; those that are open go on.
+    Deaf,
+    /// Nothing passes for so long, then all goes on.
+    CutOff(Time),
+}
+
+/// A node with one session, and the front's core before it.
+struct Scene {
+    w: World,
+    fault: Fault,
+    began: Time,
+    links: Vec<LinkId>,
+    /// Shut by the front, not yet ended by the node.
+    shut: Vec<LinkId>,
+    due: VecDeque<(Time, Input)>,
+    dials: usize,
+    questions: usize,
+}
+
+impl Scene {
+    fn new(seed: u64) -> Self {
+        let mut w = World::three();
+        // Another draw of the moments at which it looks.
+        w.core.next = seed << 20;
+        let (link, _) = w.standing(1);
+        let (began, links) = (w.now, vec![link]);
+        let (shut, due) = (Vec::new(), VecDeque::new());
+        Self { w, fault: Fault::Nothing, began, links, shut, due, dials: 0, questions: 0 }
+    }
+
+    fn acts(&self) -> bool {
+        match self.fault {
+            Fault::Nothing | Fault::Deaf => true,
+            Fault::Stall(d) | Fault::CutOff(d) => self.w.now >= self.began + d,
+            Fault::Reset | Fault::Silence => false,
+        }
+    }
+
+    fn reached(&self) -> bool {
+        self.acts() || matches!(self.fault, Fault::Stall(_))
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        (self.fault, self.began) = (fault, self.w.now);
+        if fault == Fault::Reset {
+            let links = std::mem::take(&mut self.links);
+            self.due.extend(links.into_iter().map(|l| (self.began + WAY, Input::LinkDown(l))));
+            self.shut.clear();
+        }
+    }
+
+    fn take(&mut self, out: Vec<Effect>) {
+        let now = self.w.now;
+        for e in out {
+            match e {
+                Effect::Dial(link, _) => {
+                    self.dials += 1;
+                    let refused = matches!(self.fault, Fault::Reset | Fault::Deaf);
+                    self.due.push_back(if refused {
+                        (now + 2 * WAY, Input::LinkFailed(link, DialEnd::Refused))
+                    } else if self.reached() {
+                        (now + 2 * WAY, Input::LinkUp(link))
+                    } else {
+                        (now + DIAL, Input::LinkFailed(link, DialEnd::TimedOut))
+                    });
+                }
+                Effect::Shut(link) => self.shut.push(link),
+                Effect::Close(link) => {
+                    self.links.retain(|l| *l != link);
+                    self.shut.retain(|l| *l != link);
+                }
+                Effect::Write(link, ToNode::AskLoad(id)) => {
+                    self.questions += 1;
+                    if self.acts() {
+                        self.due.push_back((now + 2 * WAY, Input::Node(link, FromNode::Load(id, None))));
+                    }
+                }
+                _ => {}
+            }
+        }
+        if self.acts() {
+            for link in std::mem::take(&mut self.shut) {
+                self.links.retain(|l| *l != link);
+                self.due.push_back((now + 2 * WAY, Input::LinkShut(link)));
+            }
+        }
+    }
+
+    /// Lets time pass in small steps; true as long as the session stands.
+    fn pass(&mut self, time: Time) -> bool {
+        let end = self.w.now + time;
+        while self.w.now < end {
+            let out = self.w.pass(MS);
+            self.take(out);
+            let now = self.w.now;
+            let due: Vec<_> = self.due.extract_if_due(now);
+            for input in due {
+                if let Input::LinkUp(link) = input {
+                    self.links.push(link);
+                }
+                let out = self.w.tell(input);
+                self.take(out);
+            }
+        }
+        self.w.core.standing() == 1
+    }
+}
+
+/// Inputs that are due, in their order.
+trait Due {
+    fn extract_if_due(&mut self, now: Time) -> Vec<Input>;
+}
+
+impl Due for VecDeque<(Time, Input)> {
+    fn extract_if_due(&mut self, now: Time) -> Vec<Input> {
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(self).into_iter().partition(|(at, _)| *at <= now);
+        *self = later.into();
+        due.into_iter().map(|(_, input)| input).collect()
+    }
+}
+
+/// Over many moments at which a fault begins: how often the node was held to be dead, and the longest time to it.
+fn errors(fault: Fault) -> (usize, usize, Time) {
+    let (mut dead, mut slowest, runs) = (0, 0, 40);
+    for seed in 1..=runs {
+        let mut scene = Scene::new(seed as u64);
+        assert!(scene.pass(5 * S + 337 * MS * seed as Time), "a living node keeps its session");
+        scene.begin(fault);
+        let began = scene.w.now;
+        while scene.w.now < began + 12 * S && scene.pass(10 * MS) {}
+        if scene.w.core.standing() == 0 {
+            dead += 1;
+            slowest = slowest.max(scene.w.now - began);
+        }
+    }
+    (dead, runs, slowest)
+}
+
+#[test]
+fn a_quiet_node_that_lives_costs_a_connection_in_about_ten_seconds_and_no_question() {
+    let mut scene = Scene::new(3);
+    assert!(scene.pass(120 * S));
+    // Two signs of life each, so that one connection does for about two times five seconds.
+    assert!((8..=15).contains(&scene.dials), "{} dials in two minutes", scene.dials);
+    assert_eq!(scene.questions, 0);
+}
+
+#[test]
+fn both_errors_of_the_watch_by_kind_of_fault() {
+    let faults = [
+        Fault::Reset,
+        Fault::Silence,
+        Fault::Stall(200 * MS),
+        Fault::Stall(S),
+        Fault::Stall(5 * S),
+        Fault::Deaf,
+        Fault::CutOff(S),
+        Fault::CutOff(6 * S),
+    ];
+    for fault in faults {
+        let (dead, runs, slowest) = errors(fault);
+        println!(
+            "{fault:?}: held to be dead in {dead} of {runs}, at most {} ms after it began",
+            slowest / MS
+        );
+        match fault {
+            Fault::Reset => assert!(dead == runs && slowest < S),
+            // The rule: told within 8 s of the end.
+            Fault::Silence => assert!(dead == runs && slowest < 8 * S),
+            Fault::CutOff(d) if d < 2 * S => assert_eq!(dead, 0),
+            // Whoever is out of reach for that long cannot be told from one that vanished.
+            Fault::CutOff(_) => assert!(dead < runs),
+            _ => assert_eq!(dead, 0, "a living node was held to be dead"),
+        }
+    }
+}
+
+#[test]
+fn a_set_up_goes_over_a_connection_that_carried_one_rather_than_a_newer_one() {
+    let mut w = World::new(&[node(1, State::Ready)]);
+    let (link, _) = w.standing(1);
+    let (newer, _) = dialled(&w.pass(6 * S)).expect("a quiet node is dialled");
+    w.tell(Input::LinkUp(newer));
+    let out = w.tell(Input::Ask(ConnId(1), ask(2, 0)));
+    assert_eq!(set_up(&out), Some((link, SessionId(2))));
+}
+
+#[test]
+fn the_end_of_a_connection_that_was_shut_here_raises_no_doubt_and_a_reset_does() {
+    for reset in [false, true] {
+        let mut w = World::new(&[node(1, State::Ready)]);
+        w.standing(1);
+        let (newer, _) = dialled(&w.pass(6 * S)).expect("a quiet node is dialled");
+        w.tell(Input::LinkUp(newer));
+        let shut = |e: &Effect| if let Effect::Shut(link) = e { Some(*link) } else { None };
+        let link =
+            (0..60).find_map(|_| w.pass(100 * MS).iter().find_map(shut)).expect("the older one is shut");
+        let out = w.tell(if reset { Input::LinkDown(link) } else { Input::LinkShut(link) });
+        assert_eq!(dialled(&out).is_some(), reset);
+        assert_eq!(w.core.standing(), 1);
+    }
+}
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -136,6 +136,8 @@
     LinkFailed(LinkId, DialEnd),
     /// A connection to a node broke or ended.
     LinkDown(LinkId),
+    /// The node ended a connection after this side had shut its own half.
+    LinkShut(LinkId),
     /// A node said something.
     Node(LinkId, FromNode),
     /// The list of nodes is this now.
@@ -155,6 +157,8 @@
     Write(LinkId, ToNode),
     /// Close a connection to a node.
     Close(LinkId),
+    /// Shut the sending side of a connection to a node and wait for the node to end it.
+    Shut(LinkId),
     /// A line for the log.
     Log(&'static str, String),
 }
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -2,8 +2,10 @@
 
 use bytes::{Buf, BytesMut};
 use pepperhook_rtsp::{Decoder, Fault, Message};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
+use std::net::Shutdown;
 use std::ops::ControlFlow;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -21,6 +23,8 @@
 pub enum End {
     /// The other side ended or reset it.
     Gone,
+    /// The other side ended it after this side had shut its own half.
+    Shut,
     /// It was closed from here.
     Closed,
     /// What came was no message.
@@ -37,6 +41,9 @@
     queue: RefCell<BytesMut>,
     wake: Notify,
     closing: Cell<bool>,
+    /// The sending side is to be shut, and was.
+    shut: Cell<bool>,
+    was_shut: Cell<bool>,
     /// The queue ran over.
     over: Cell<bool>,
 }
@@ -57,13 +64,15 @@
             queue: RefCell::default(),
             wake: Notify::new(),
             closing: Cell::new(false),
+            shut: Cell::new(false),
+            was_shut: Cell::new(false),
             over: Cell::new(false),
         }
     }
 
     /// Writes at once what the socket takes, and keeps the rest.
     pub fn send(&self, message: &Message) {
-        if self.closing.get() {
+        if self.closing.get() || self.shut.get() {
             return;
         }
         let mut bytes = message.encode();
@@ -88,6 +97,12 @@
         self.wake.notify_one();
     }
 
+    /// Shuts the sending side once what was said is written; the other side is read to its end.
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.wake.notify_one();
+    }
+
     /// Takes the stream back, to end it in order.
     pub fn into_stream(self) -> TcpStream {
         self.stream
@@ -118,6 +133,9 @@
             if self.over.get() || (self.closing.get() && !waits) {
                 return End::Closed;
             }
+            if self.shut.get() && !waits && !self.was_shut.replace(true) {
+                let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
+            }
             let time_up = async {
                 match due {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -142,6 +160,7 @@
                         return End::Gone;
                     }
                     let n = match self.stream.try_read(&mut piece) {
+                        Ok(0) if self.was_shut.get() => return End::Shut,
                         Ok(0) => return End::Gone,
                         Ok(n) => n,
                         Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -81,6 +81,7 @@
                     }
                 }
                 Effect::Dial(link, address) => {
+                    trace!(event = "dial", link = link.0, %address);
                     spawn_local(self.clone().link(link, address));
                 }
                 Effect::Write(link, word) => {
@@ -94,6 +95,11 @@
                         peer.close();
                     }
                 }
+                Effect::Shut(link) => {
+                    if let Some(peer) = self.nodes.borrow().get(&link) {
+                        peer.shut();
+                    }
+                }
                 // The module and the core bound their own lines.
                 Effect::Log(kind, line) => info!(event = kind, "{line}"),
             }
@@ -246,13 +252,13 @@
                 }
             })
             .await;
-        if !matches!(end, End::Gone | End::Closed) && self.may_warn("noise") {
+        if !matches!(end, End::Gone | End::Closed | End::Shut) && self.may_warn("noise") {
             warn!(event = "node-noise", %address, ?end, "a node's connection was closed");
         }
         self.nodes.borrow_mut().remove(&id);
         // The socket is closed before the core hears of it: what was open on it is given up by that.
         drop(peer);
-        self.drive(Input::LinkDown(id));
+        self.drive(if end == End::Shut { Input::LinkShut(id) } else { Input::LinkDown(id) });
     }
 
     /// Runs the core's timers.
