Short delivery says nothing of links that say nothing: `usual` is learnt from reports alone

In 96 of 100 placements the front had no reading of the server at all and went by `usual`, which for links is the mean of all readings in `learn_usual` (src/decide.rs). Notes of short delivery are among these (`delivered` writes 1 over the share), and they come only from links that are short: the sample was drawn from the full links.

A server's last reading that came whether its link was short or not is kept beside (`told`), and `usual` goes by those. What a front knows of the very link that is short is as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -202,7 +202,8 @@
             self.racks[rack as usize].members.insert(entry.server);
             if entry.started > server.entry.started {
                 server.cold_from = entry.started;
-                (server.lost, server.barred_until, server.link) = (false, 0, None);
+                (server.lost, server.barred_until) = (false, 0);
+                (server.link, server.told) = (None, None);
             }
             (server.entry, server.rack) = (entry, rack);
         }
@@ -285,7 +286,8 @@
         self.estimate(now, state.uplink, self.usual.1, self.own_rack_kb(rack) / uplink, change)
     }
 
-    /// What is usual on a link and an uplink: the mean of what was seen, the fresh counting most; where
+    /// What is usual on a link and an uplink: the mean of what was seen, the fresh counting most, but not of
+    /// what is told only of links that are short, which would make every link seem so; where
     /// nothing was, own sessions stand for those of an average front.
     fn learn_usual(&mut self, now: Time) {
         let own = self.servers.values().map(|s| s.own_kb).sum::<f64>() * f64::from(self.set.fronts);
@@ -299,7 +301,7 @@
         };
         let links = if self.set.all_links_kb > 0.0 { self.set.all_links_kb } else { f64::INFINITY };
         self.usual = (
-            mean(&mut self.servers.values().filter_map(|s| s.link), links),
+            mean(&mut self.servers.values().filter_map(|s| s.told), links),
             mean(
                 &mut self.racks.iter().filter_map(|r| r.uplink),
                 self.set.uplink_kb * self.racks.len() as f64,
@@ -361,7 +363,10 @@
                 Gauge::Streams => server.streams = Some(value),
                 // At its upper end this gauge tells no more than that the link is full.
                 Gauge::LinkCapped if value >= DELIVERED && server.link.is_some_and(|r| r.used > value) => {}
-                Gauge::Link | Gauge::LinkCapped => server.link = reading(link),
+                Gauge::Link | Gauge::LinkCapped => {
+                    server.link = reading(link);
+                    server.told = server.link;
+                }
                 Gauge::Uplink => self.racks[server.rack as usize].uplink = reading(uplink),
                 Gauge::Other => {}
             }
@@ -387,7 +392,10 @@
                     self.resum(now, server);
                 }
             }
-            NoteKind::LinkUse => state.link = Some(Reading { used: value.min(10.0), at }),
+            NoteKind::LinkUse => {
+                state.link = Some(Reading { used: value.min(10.0), at });
+                state.told = state.link;
+            }
             NoteKind::UplinkUse => {
                 self.racks[rack as usize].uplink = Some(Reading { used: value.min(10.0), at });
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -409,3 +409,38 @@
         assert_ne!(other, at, "full: {full}");
     }
 }
+
+/// On every day of the full fleet the fronts took all links to be as full as the few that told of short delivery, and
+/// placed whoever came at low rungs on links that were half empty.
+#[test]
+fn a_link_that_tells_of_short_delivery_says_nothing_of_links_that_say_nothing() {
+    let rung = |short: bool| {
+        let servers: Vec<_> = (0..8).map(|i| server(i + 1, i % 4)).collect();
+        let mut f = Front::new(settings(), &servers);
+        for n in 0..4 {
+            f.under_way(n, wish(n, 0.0, 1.0), 1, 2);
+        }
+        for _ in 0..4 {
+            f.pass(S);
+            if short {
+                f.note(0, 1, NoteKind::Delivered, 0.6);
+            }
+        }
+        f.play(9, wish(9, 1.0, 1.0)).1
+    };
+    // Its own sessions came down, of which the newcomer's fair rung is reckoned.
+    assert!(rung(true) + 1 >= rung(false), "{} and {}", rung(true), rung(false));
+}
+
+#[test]
+fn links_that_report_their_use_do_tell_of_those_that_say_nothing() {
+    let rung = |used: f64| {
+        let servers: Vec<_> = (0..8).map(|i| server(i + 1, i % 4)).collect();
+        let mut f = Front::new(settings(), &servers);
+        f.under_way(0, wish(0, 0.0, 1.0), 1, 2);
+        f.note(0, 1, NoteKind::LinkUse, used);
+        f.pass(S);
+        f.play(9, wish(9, 1.0, 1.0)).1
+    };
+    assert!(rung(0.9) < rung(0.3));
+}
