A moved session whose node says nothing is told to be over, not only cut at the node

Ruled out: connections that are shut (no release ever came on one, none was left without its end in 688), the time to find dead nodes (all found within 1.5 s), viewers' connections that were closed (no end was written to one). At fault: `Wake::Moved` in core/mod.rs and `cut` in core/standing.rs: after 300 ms without the node's word the session left the accounts, so that the node's death, found later, released nobody.

The viewer is now told of the end along with the cut.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -213,8 +213,7 @@
                 Wake::AttemptTime(id, number) => self.attempt_time(now, id, number, out),
                 Wake::AttemptClosed(id, number) => self.attempt_closed(id, number),
                 Wake::Backstop(id) => self.backstop(now, id, out),
-                // Its node still has it.
-                Wake::Moved(id) => self.cut(now, id, out),
+                Wake::Moved(id) => self.moved_time(now, id, out),
                 Wake::ProbeTime(id) => self.probe_time(now, id, out),
                 Wake::Doubt(life) => self.doubt_again(now, life, out),
                 Wake::Shut(link) => self.shut_unanswered(now, link, out),
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -164,6 +164,17 @@
         self.at(now + MOVED, Wake::Moved(id));
     }
 
+    /// A moved session of which its node has said nothing is cut there. The node may have died before the move: then
+    /// the move told the viewer nothing that counts, so that the viewer is told of the end as well.
+    pub(super) fn moved_time(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(s) = self.sessions.get(&id).filter(|s| matches!(s.phase, Phase::Standing(..))) else {
+            return;
+        };
+        let (conn, peer, word) = (s.conn, s.peer, ToViewer::Over(id, s.ask.wish.title.0, CANCELLED));
+        self.cut(now, id, out);
+        self.tell_end(now, conn, peer, word, out);
+    }
+
     fn take_standing(&mut self, now: Time, id: SessionId) -> Option<(Session, ServerId)> {
         let Phase::Standing(life, _) = self.sessions.get(&id)?.phase else { return None };
         let s = self.sessions.remove(&id)?;
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -317,6 +317,9 @@
         }
         let out = w.pass(500 * MS);
         assert_eq!(wrote(&out, &ToNode::Release(SessionId(1), 7, 31)), !heard);
+        // On the long day sessions of a node that died were moved before its death was seen; the move is no release of
+        // what was over already, and nobody told their viewers.
+        assert_eq!(told(&out, &over(1, 31)), !heard);
         assert_eq!(w.core.standing(), 0);
     }
 }
