--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -447,3 +447,114 @@
         Command::new(env!("CARGO_BIN_EXE_pepperhook")).arg("platform").env_remove("BALANCER_CONFIG").output();
     assert_eq!(none.expect("runs").status.code(), Some(2));
 }
+
+/// What the platform asks of `run`: one process by `exec`, linked dynamically, TCP over IPv4 alone.
+#[test]
+fn the_deploy_file_starts_one_process_that_holds_one_listener_and_nothing_else() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
+    let text = std::fs::read_to_string(deploy).expect("the deploy file");
+    let key = |name: &str| {
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(" = ")).expect("a key");
+        line.trim_matches('"').to_owned()
+    };
+    assert_eq!(key("build"), "cargo build --release");
+    assert_eq!(key("run"), "exec target/release/pepperhook platform");
+
+    // PT_INTERP of the program headers names the dynamic loader; a static binary has none.
+    let elf = std::fs::read(env!("CARGO_BIN_EXE_pepperhook")).expect("the binary");
+    let number =
+        |at: usize, n: usize| elf[at..at + n].iter().rev().fold(0usize, |x, b| x << 8 | usize::from(*b));
+    let (table, size, count) = (number(32, 8), number(54, 2), number(56, 2));
+    assert!((0..count).any(|i| number(table + i * size, 4) == 3), "linked statically");
+
+    let (node, _told) = scripted(answer);
+    let (log, _asked) = change_log(Vec::new());
+    let front = front(&config(&[node], log));
+    assert!(front.asks("00000000000000c1").head.starts_with("RTSP/1.0 200"));
+    let proc = format!("/proc/{}", front.child.id());
+    let threads: Vec<_> = std::fs::read_dir(format!("{proc}/task")).expect("tasks").flatten().collect();
+    for thread in &threads {
+        let children = std::fs::read_to_string(thread.path().join("children")).unwrap_or_default();
+        assert_eq!(children.trim(), "", "it started another program");
+    }
+    let inodes: Vec<_> = std::fs::read_dir(format!("{proc}/fd"))
+        .expect("descriptors")
+        .flatten()
+        .filter_map(|fd| std::fs::read_link(fd.path()).ok())
+        .filter_map(|l| Some(l.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    let held = |table: &str, inode: usize| -> Vec<Vec<String>> {
+        let rows = std::fs::read_to_string(format!("{proc}/net/{table}")).unwrap_or_default();
+        let rows = rows.lines().skip(1).map(|l| l.split_whitespace().map(str::to_owned).collect::<Vec<_>>());
+        rows.filter(|r| r.get(inode).is_some_and(|i| inodes.contains(i))).collect()
+    };
+    // State 0A is a listener.
+    let listeners = held("tcp", 9).iter().filter(|r| r[3] == "0A").count();
+    assert_eq!((listeners, held("udp", 9).len(), held("tcp6", 9).len()), (1, 0, 0));
+    // tokio's signals come over a pair of unnamed Unix sockets; one with a name could be met from outside.
+    assert!(held("unix", 6).iter().all(|r| r.len() == 7), "a Unix socket with a name");
+}
+
+/// One frame of the change log: one record of a node, by the protocol's layout.
+fn changed(number: u64, id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend(v4.ip().octets());
+    record.extend(v4.port().to_be_bytes());
+    record.extend([state, 0, 0]);
+    record.extend(0u16.to_be_bytes());
+    record.extend(1_000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    let mut frame = ((9 + record.len()) as u32).to_be_bytes().to_vec();
+    frame.extend(number.to_be_bytes());
+    frame.push(2);
+    frame.extend(record);
+    frame
+}
+
+/// The change log breaks off within an event, tells others twice, then falls silent with the connection open; the front
+/// asks again from the last whole event each time, and ends up with the list as it is.
+#[test]
+fn a_change_log_that_tears_doubles_and_falls_silent_is_asked_again_from_the_last_whole_event() {
+    let (first, _told) = scripted(answer);
+    let (second, served) = scripted(answer);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let log = listener.local_addr().expect("an address");
+    let drains = changed(4, 0, 1, first);
+    let gone = changed(5, 0, 2, first);
+    let comes = changed(6, 9, 0, second);
+    let (tell, asked) = channel();
+    spawn(move || {
+        let pieces = [
+            // Whole, then torn in the middle.
+            [&drains[..], &gone[..gone.len() / 2]].concat(),
+            // Twice, and one that is long known; then silence.
+            [&gone[..], &gone[..], &drains[..]].concat(),
+            comes,
+        ];
+        let mut kept = Vec::new();
+        for (i, piece) in pieces.into_iter().enumerate() {
+            let (mut stream, _) = listener.accept().expect("the front asks");
+            let mut last = [0; 8];
+            stream.read_exact(&mut last).expect("a number");
+            tell.send(u64::from_be_bytes(last)).expect("a test that waits");
+            stream.write_all(&piece).expect("writes");
+            if i > 0 {
+                kept.push(stream);
+            }
+        }
+        // Open to the end of the test.
+        let _ = listener.accept();
+    });
+    let front = front(&config(&[first], log));
+    let numbers: Vec<_> = (0..3).map(|_| asked.recv_timeout(10 * SECOND).expect("asked again")).collect();
+    assert_eq!(numbers, [3, 4, 5]);
+    // The node that came last serves, and the one that is gone does not: no other holds the title.
+    let until = Instant::now() + 5 * SECOND;
+    let mut n = 0xd0u64;
+    while !front.asks(&format!("{n:016x}")).head.starts_with("RTSP/1.0 200") {
+        assert!(Instant::now() < until, "the list's last event did not arrive");
+        n += 1;
+    }
+    assert!(served.iter().any(|m| m.head.starts_with("SETUP")));
+}
