Process tests of slow readers, floods of give-ups and answers cut off on their way

Each starts the program before scripted nodes and viewers: 200 set-ups taken back once the flood has reached the node leave none there (as many give-ups as set-ups arrived) and a viewer beside them is served; one that writes up to 400,000 questions and reads nothing is closed at the bound on what waits, with 20 others served within a second each meanwhile; an answer that breaks off in its body, with the connection ended or left open, fails its paid set-up once and before its time is up, and the next viewer is served.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -558,3 +558,111 @@
     }
     assert!(served.iter().any(|m| m.head.starts_with("SETUP")));
 }
+
+/// Hundreds of set-ups taken back at once: none is left at the node, and who comes after them is served.
+#[test]
+fn a_flood_of_give_ups_leaves_nothing_behind() {
+    let (node, told) = scripted(|stream, m| {
+        // It takes its time with the flood's set-ups, so that the give-ups cross them.
+        if !m.field("Session").unwrap_or("").starts_with("ee") {
+            answer(stream, m);
+        }
+    });
+    let (log, _asked) = change_log(Vec::new());
+    let front = front(&config(&[node], log));
+    let mut flood = front.connect();
+    let ids: Vec<_> = (0..200).map(|n| format!("ee{n:014x}")).collect();
+    let bytes: Vec<u8> = ids.iter().flat_map(|id| set_up(id)).collect();
+    flood.write_all(&bytes).expect("writes");
+    let arrived =
+        |m: &Raw| m.head.starts_with("SETUP") && m.field("Session").is_some_and(|s| s.starts_with("ee"));
+    assert!(told.iter().any(|m| arrived(&m)), "the flood has reached the node");
+    let give_up = |id: &String| {
+        message(
+            "TEARDOWN rtsp://media/00000000000000f1 RTSP/1.0",
+            &[("CSeq", "2"), ("Session", id.as_str())],
+            b"",
+        )
+    };
+    flood.write_all(&ids.iter().flat_map(give_up).collect::<Vec<u8>>()).expect("writes");
+    assert!(front.asks("00000000000000c2").head.starts_with("RTSP/1.0 200"));
+    // Each set-up that reached the node was taken back there, or its connection was closed.
+    let mut heard = 0;
+    while heard < ids.len() {
+        let m = read(&mut flood).expect("a give-up is heard");
+        heard += usize::from(m.field("CSeq") == Some("2"));
+    }
+    front.signal("SIGTERM");
+    wait(&front.lines, "stopped");
+    drop(front);
+    let (mut out, mut back) = (1, 0);
+    for m in told.try_iter().filter(|m| m.field("Session").is_some_and(|s| s.starts_with("ee"))) {
+        out += usize::from(m.head.starts_with("SETUP"));
+        back += usize::from(m.head.starts_with("TEARDOWN"));
+    }
+    assert!(back <= out && out <= ids.len(), "{out} set-ups, {back} taken back");
+    assert!(out == back, "{} set-ups were left at the node", out - back);
+}
+
+/// A viewer that asks and asks and reads nothing loses its connection when what waits for it passes the bound; others
+/// are served meanwhile.
+#[test]
+fn a_viewer_that_does_not_read_loses_its_connection_and_nobody_elses() {
+    let (node, _told) = scripted(answer);
+    let (log, _asked) = change_log(Vec::new());
+    let front = front(&config(&[node], log));
+    let mut slow = front.connect();
+    slow.set_write_timeout(Some(5 * SECOND)).expect("a time");
+    let ping = message("OPTIONS rtsp://media/ping RTSP/1.0", &[("CSeq", "3")], b"");
+    let many = ping.repeat(1_000);
+    let (tell, ended) = channel();
+    spawn(move || {
+        // Far more than the system's buffers and the front's bound hold together.
+        let end = (0..400).find_map(|_| slow.write_all(&many).err());
+        let _ = tell.send(end.map(|e| e.kind()));
+    });
+    for n in 0..20u64 {
+        let began = Instant::now();
+        assert!(front.asks(&format!("{:016x}", 0xf00 + n)).head.starts_with("RTSP/1.0 200"));
+        assert!(began.elapsed() < SECOND, "others wait for the one that does not read");
+    }
+    let end = ended.recv_timeout(20 * SECOND).expect("the writer ends");
+    use std::io::ErrorKind::{BrokenPipe, ConnectionReset};
+    assert!(matches!(end, Some(ConnectionReset | BrokenPipe)), "its connection was closed: {end:?}");
+}
+
+/// Answers that break off within their body, with the connection ended or left open: the paid set-up may have run, so that
+/// it fails, once and in time, and the next viewer is served.
+#[test]
+fn an_answer_cut_off_on_its_way_fails_its_set_up_alone() {
+    let (node, _told) = scripted(|stream, m| {
+        let session = m.field("Session").unwrap_or("").to_owned();
+        let cut = session.starts_with("cc") || session.starts_with("dd");
+        if !(cut && m.head.starts_with("SETUP")) {
+            return answer(stream, m);
+        }
+        let whole =
+            message("RTSP/1.0 200 OK", &[("CSeq", "1"), ("Session", session.as_str())], b"an answer\r\n");
+        let _ = stream.write_all(&whole[..whole.len() - 4]);
+        if session.starts_with("cc") {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    });
+    let (log, _asked) = change_log(Vec::new());
+    let front = front(&config(&[node], log));
+    for id in ["cc000000000000a1", "dd000000000000a1"] {
+        let mut viewer = front.connect();
+        let began = Instant::now();
+        viewer.write_all(&set_up(id)).expect("writes");
+        let end = read(&mut viewer).expect("an answer");
+        assert!(end.head.starts_with("RTSP/1.0 500") && began.elapsed() < 2 * SECOND, "{id}: {end:?}");
+        viewer.set_read_timeout(Some(SECOND / 5)).expect("a time");
+        assert!(read(&mut viewer).is_err(), "a second answer");
+        assert!(
+            front
+                .asks(&id.replace("a1", "b2").replace("cc", "aa").replace("dd", "bb"))
+                .head
+                .contains(" 200 ")
+        );
+    }
+}
