Silent servers count for `usual` beside those that tell of short delivery

A server with own sessions that has told nothing in 10 s now counts as BLIND (0.6) beside those that tell of short delivery, so that few short links among many silent ones are few, and many are many.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -202,8 +202,7 @@
             self.racks[rack as usize].members.insert(entry.server);
             if entry.started > server.entry.started {
                 server.cold_from = entry.started;
-                (server.lost, server.barred_until) = (false, 0);
-                (server.link, server.told) = (None, None);
+                (server.lost, server.barred_until, server.link) = (false, 0, None);
             }
             (server.entry, server.rack) = (entry, rack);
         }
@@ -286,8 +285,7 @@
         self.estimate(now, state.uplink, self.usual.1, self.own_rack_kb(rack) / uplink, change)
     }
 
-    /// What is usual on a link and an uplink: the mean of what was seen, the fresh counting most, but not of
-    /// what is told only of links that are short, which would make every link seem so; where
+    /// What is usual on a link and an uplink: the mean of what was seen, the fresh counting most; where
     /// nothing was, own sessions stand for those of an average front.
     fn learn_usual(&mut self, now: Time) {
         let own = self.servers.values().map(|s| s.own_kb).sum::<f64>() * f64::from(self.set.fronts);
@@ -299,9 +297,13 @@
             });
             sum.0 / sum.1
         };
+        // Short delivery is told only of links that are short: a server that is silent though own sessions play
+        // there counts beside them, else every link would seem short.
+        let silent = |s: &Server| (!s.sessions.is_empty()).then_some(Reading { used: BLIND, at: now });
+        let seen = |s: &Server| s.link.filter(|r| r.at + WINDOW > now).or_else(|| silent(s));
         let links = if self.set.all_links_kb > 0.0 { self.set.all_links_kb } else { f64::INFINITY };
         self.usual = (
-            mean(&mut self.servers.values().filter_map(|s| s.told), links),
+            mean(&mut self.servers.values().filter_map(seen), links),
             mean(
                 &mut self.racks.iter().filter_map(|r| r.uplink),
                 self.set.uplink_kb * self.racks.len() as f64,
@@ -363,10 +365,7 @@
                 Gauge::Streams => server.streams = Some(value),
                 // At its upper end this gauge tells no more than that the link is full.
                 Gauge::LinkCapped if value >= DELIVERED && server.link.is_some_and(|r| r.used > value) => {}
-                Gauge::Link | Gauge::LinkCapped => {
-                    server.link = reading(link);
-                    server.told = server.link;
-                }
+                Gauge::Link | Gauge::LinkCapped => server.link = reading(link),
                 Gauge::Uplink => self.racks[server.rack as usize].uplink = reading(uplink),
                 Gauge::Other => {}
             }
@@ -392,10 +391,7 @@
                     self.resum(now, server);
                 }
             }
-            NoteKind::LinkUse => {
-                state.link = Some(Reading { used: value.min(10.0), at });
-                state.told = state.link;
-            }
+            NoteKind::LinkUse => state.link = Some(Reading { used: value.min(10.0), at }),
             NoteKind::UplinkUse => {
                 self.racks[rack as usize].uplink = Some(Reading { used: value.min(10.0), at });
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -51,8 +51,6 @@
     pub own_kb: f64,
     pub changes: SlidingSum,
     pub link: Option<Reading>,
-    /// The last one that came whether the link was short or not.
-    pub told: Option<Reading>,
     pub streams: Option<f64>,
     pub short_at: Option<Time>,
     /// When rungs were last lowered for it.
@@ -109,7 +107,6 @@
             own_kb: 0.0,
             changes: SlidingSum::default(),
             link: None,
-            told: None,
             streams: None,
             short_at: None,
             relieved_at: 0,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -420,6 +420,9 @@
         for n in 0..4 {
             f.under_way(n, wish(n, 0.0, 1.0), 1, 2);
         }
+        for at in 3..=8u32 {
+            f.under_way(u64::from(at) + 10, wish(u64::from(at) + 10, f64::from((at - 1) % 4), 1.0), at, 0);
+        }
         for _ in 0..4 {
             f.pass(S);
             if short {
