Read again: one state for a connection's sending side, plainer choice of a spare one

`Peer` held two flags of which three of four values could occur; they are one state now. `spare` went through a node's connections twice with an iterator borrowed for no reason. The watch's tests had a trait of their own for what `Vec::extract_if` does, as the tests beside them show.

--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -129,8 +129,8 @@
         ids.filter_map(|id| self.links.get(id).map(|l| (*id, l))).filter(|(_, l)| l.up())
     }
 
-    /// A connection for a set-up: one that carries none now and has carried some, was used last; else a new one, else one
-    /// that carries few.
+    /// A connection for a set-up: of those that carry none now one that has carried some, then the one used last; else a
+    /// new one, else one that carries few.
     pub(super) fn link_for_set_up(
         &mut self,
         now: Time,
@@ -367,11 +367,12 @@
         }
     }
 
-    /// The connection of a node that carries nothing and was used longest ago, if there is another that is up.
+    /// A connection of a node that carries nothing, if there is another that is up: rather one that never carried a
+    /// set-up, then the one used longest ago.
     pub(super) fn spare(&self, life: LifeId) -> Option<LinkId> {
-        let mut idle = self.ups(life).filter(|(_, l)| l.idle());
-        let first = idle.by_ref().min_by_key(|(_, l)| (l.carried, l.used));
-        first.filter(|_| self.ups(life).count() > 1).map(|(link, _)| link)
+        let another = self.ups(life).count() > 1;
+        let idle = self.ups(life).filter(|(_, l)| another && l.idle());
+        idle.min_by_key(|(_, l)| (l.carried, l.used)).map(|(link, _)| link)
     }
 
     /// Idle connections are ended before the nodes close them; where sessions stand, another takes the place of the
--- a/crates/platform/src/core/tests/watch.rs
+++ b/crates/platform/src/core/tests/watch.rs
@@ -2,7 +2,6 @@
 //! of fault. `cargo test -p pepperhook-platform watch -- --nocapture` prints the table of `docs/platform.md`.
 
 use super::*;
-use std::collections::VecDeque;
 
 /// Way to the node, or back.
 const WAY: Time = 2 * MS;
@@ -33,7 +32,7 @@
     links: Vec<LinkId>,
     /// Shut by the front, not yet ended by the node.
     shut: Vec<LinkId>,
-    due: VecDeque<(Time, Input)>,
+    due: Vec<(Time, Input)>,
     dials: usize,
     questions: usize,
 }
@@ -45,7 +44,7 @@
         w.core.next = seed << 20;
         let (link, _) = w.standing(1);
         let (began, links) = (w.now, vec![link]);
-        let (shut, due) = (Vec::new(), VecDeque::new());
+        let (shut, due) = (Vec::new(), Vec::new());
         Self { w, fault: Fault::Nothing, began, links, shut, due, dials: 0, questions: 0 }
     }
 
@@ -77,7 +76,7 @@
                 Effect::Dial(link, _) => {
                     self.dials += 1;
                     let refused = matches!(self.fault, Fault::Reset | Fault::Deaf);
-                    self.due.push_back(if refused {
+                    self.due.push(if refused {
                         (now + 2 * WAY, Input::LinkFailed(link, DialEnd::Refused))
                     } else if self.reached() {
                         (now + 2 * WAY, Input::LinkUp(link))
@@ -93,7 +92,7 @@
                 Effect::Write(link, ToNode::AskLoad(id)) => {
                     self.questions += 1;
                     if self.acts() {
-                        self.due.push_back((now + 2 * WAY, Input::Node(link, FromNode::Load(id, None))));
+                        self.due.push((now + 2 * WAY, Input::Node(link, FromNode::Load(id, None))));
                     }
                 }
                 _ => {}
@@ -102,7 +101,7 @@
         if self.acts() {
             for link in std::mem::take(&mut self.shut) {
                 self.links.retain(|l| *l != link);
-                self.due.push_back((now + 2 * WAY, Input::LinkShut(link)));
+                self.due.push((now + 2 * WAY, Input::LinkShut(link)));
             }
         }
     }
@@ -114,8 +113,8 @@
             let out = self.w.pass(MS);
             self.take(out);
             let now = self.w.now;
-            let due: Vec<_> = self.due.extract_if_due(now);
-            for input in due {
+            let due: Vec<_> = self.due.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, input) in due {
                 if let Input::LinkUp(link) = input {
                     self.links.push(link);
                 }
@@ -127,19 +126,6 @@
     }
 }
 
-/// Inputs that are due, in their order.
-trait Due {
-    fn extract_if_due(&mut self, now: Time) -> Vec<Input>;
-}
-
-impl Due for VecDeque<(Time, Input)> {
-    fn extract_if_due(&mut self, now: Time) -> Vec<Input> {
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(self).into_iter().partition(|(at, _)| *at <= now);
-        *self = later.into();
-        due.into_iter().map(|(_, input)| input).collect()
-    }
-}
-
 /// Over many moments at which a fault begins: how often the node was held to be dead, and the longest time to it.
 fn errors(fault: Fault) -> (usize, usize, Time) {
     let (mut dead, mut slowest, runs) = (0, 0, 40);
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -35,15 +35,22 @@
     Slow,
 }
 
+/// The sending side of a connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Half {
+    Open,
+    /// To be shut once what was said is written.
+    Ending,
+    Shut,
+}
+
 /// The writing half, shared with whoever has something to say.
 pub struct Peer {
     stream: TcpStream,
     queue: RefCell<BytesMut>,
     wake: Notify,
     closing: Cell<bool>,
-    /// The sending side is to be shut, and was.
-    shut: Cell<bool>,
-    was_shut: Cell<bool>,
+    half: Cell<Half>,
     /// The queue ran over.
     over: Cell<bool>,
 }
@@ -64,15 +71,14 @@
             queue: RefCell::default(),
             wake: Notify::new(),
             closing: Cell::new(false),
-            shut: Cell::new(false),
-            was_shut: Cell::new(false),
+            half: Cell::new(Half::Open),
             over: Cell::new(false),
         }
     }
 
     /// Writes at once what the socket takes, and keeps the rest.
     pub fn send(&self, message: &Message) {
-        if self.closing.get() || self.shut.get() {
+        if self.closing.get() || self.half.get() != Half::Open {
             return;
         }
         let mut bytes = message.encode();
@@ -99,7 +105,7 @@
 
     /// Shuts the sending side once what was said is written; the other side is read to its end.
     pub fn shut(&self) {
-        self.shut.set(true);
+        self.half.set(Half::Ending);
         self.wake.notify_one();
     }
 
@@ -133,7 +139,8 @@
             if self.over.get() || (self.closing.get() && !waits) {
                 return End::Closed;
             }
-            if self.shut.get() && !waits && !self.was_shut.replace(true) {
+            if self.half.get() == Half::Ending && !waits {
+                self.half.set(Half::Shut);
                 let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
             }
             let time_up = async {
@@ -160,7 +167,7 @@
                         return End::Gone;
                     }
                     let n = match self.stream.try_read(&mut piece) {
-                        Ok(0) if self.was_shut.get() => return End::Shut,
+                        Ok(0) if self.half.get() == Half::Shut => return End::Shut,
                         Ok(0) => return End::Gone,
                         Ok(n) => n,
                         Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
