--- a/tests/unchanged.rs
+++ b/tests/unchanged.rs
@@ -1,6 +1,6 @@
 //! Without announced peaks the module decides bit for bit as before it knew of them: all actions of a long
-//! random run, hashed, against the hash of the build before. The hashes were taken anew when `usual` began to count silent servers
-//! beside those that tell of short delivery.
+//! random run, hashed, against the hash of the build before. The hashes were taken anew when
+//! `usual` began to count silent servers beside those that tell of short delivery.
 
 mod common;
 
