--- a/src/decide.rs
+++ b/src/decide.rs
@@ -297,8 +297,8 @@
             });
             sum.0 / sum.1
         };
-        // Short delivery is told only of links that are short: a server that is silent though own sessions play
-        // there counts beside them, else every link would seem short.
+        // Short delivery is told only of links that are short: a server that is silent though own sessions
+        // play there counts beside them, else every link would seem short.
         let silent = |s: &Server| (!s.sessions.is_empty()).then_some(Reading { used: BLIND, at: now });
         let seen = |s: &Server| s.link.filter(|r| r.at + WINDOW > now).or_else(|| silent(s));
         let links = if self.set.all_links_kb > 0.0 { self.set.all_links_kb } else { f64::INFINITY };
