--- a/crates/replica/tests/fleet.rs
+++ b/crates/replica/tests/fleet.rs
@@ -439,3 +439,39 @@
     assert!(replica.may_act(10, 7));
     assert!(replica.put(0, 8, vec![0; 513]).is_err());
 }
+
+/// What copies cost: `cargo test --release -p pepperhook-replica --test fleet measure -- --ignored --nocapture`.
+#[test]
+#[ignore = "prints figures"]
+fn measure() {
+    println!("fronts, keys a front: bytes/s a front idle; 5 keys/s a front; s until a dead front's keys have a holder");
+    for (n, keys) in [(8, 100), (8, 1_000), (24, 100), (24, 1_000)] {
+        let mut world = World::new(n, 1, 0.0);
+        let bytes = |w: &World| -> u64 {
+            let running = w.fronts.values().filter_map(|f| f.replica.as_ref());
+            running.map(|r| r.counters().sent_bytes).sum()
+        };
+        for _ in 0..20 {
+            world.traffic(n as usize * keys / 20);
+            world.pass(400);
+        }
+        world.pass(4_000);
+        let before = bytes(&world);
+        world.pass(10_000);
+        let idle = (bytes(&world) - before) / 10 / n;
+        let before = bytes(&world);
+        for _ in 0..10 {
+            world.traffic(5 * n as usize);
+            world.pass(1_000);
+        }
+        let busy = (bytes(&world) - before) / 10 / n;
+        world.pass(2_000);
+        let died = world.now;
+        world.kill(2);
+        world.forget_unknown();
+        while world.lives.keys().any(|k| !world.actors().contains_key(k)) && world.now < died + 30_000 {
+            world.pass(100);
+        }
+        println!("{n}, {keys}: {idle}; {busy}; {:.1}", (world.now - died) as f64 / 1_000.0);
+    }
+}
