--- a/crates/replica/tests/fleet.rs
+++ b/crates/replica/tests/fleet.rs
@@ -444,7 +444,9 @@
 #[test]
 #[ignore = "prints figures"]
 fn measure() {
-    println!("fronts, keys a front: bytes/s a front idle; 5 keys/s a front; s until a dead front's keys have a holder");
+    println!(
+        "fronts, keys a front: bytes/s a front idle; 5 keys/s a front; s until a dead front's keys have a holder"
+    );
     for (n, keys) in [(8, 100), (8, 1_000), (24, 100), (24, 1_000)] {
         let mut world = World::new(n, 1, 0.0);
         let bytes = |w: &World| -> u64 {
