One form of settings for copies, and no answer of put that nobody reads

Read again: the fleet had a twin of the replica's settings without two fields, and put told Kept or Apart by a rule that nobody used and that was wrong for streams begun anew. A raised run was put into the view only with its next change.

--- a/crates/fleet/src/copies.rs
+++ b/crates/fleet/src/copies.rs
@@ -2,7 +2,7 @@
 
 use pepperhook_exchange::MOST_LANE;
 use pepperhook_membership::Member;
-use pepperhook_replica::{Counters, Out as Said, Peer, Put, Refused, Replica, StreamRow};
+use pepperhook_replica::{Counters, Out as Said, Peer, Refused, Replica, Settings, StreamRow};
 use std::collections::BTreeMap;
 
 /// Bytes of the zone before a message.
@@ -10,23 +10,6 @@
 /// The zone of a front that was not heard yet.
 const UNKNOWN: u16 = u16::MAX;
 
-/// What a front is told of copies.
-#[derive(Clone, Copy, Debug)]
-pub struct CopySettings {
-    /// This front's zone.
-    pub zone: u16,
-    /// Copies of each of its streams.
-    pub copies: usize,
-    /// Guards of each.
-    pub guards: usize,
-    /// A guard's grant lasts so long, milliseconds.
-    pub lease_ms: u64,
-    /// Time between two looks, milliseconds.
-    pub period_ms: u64,
-    /// Bytes of copies a second.
-    pub bytes_per_s: u64,
-}
-
 /// This front's copies and what it keeps for others.
 pub struct Copies {
     replica: Replica,
@@ -36,19 +19,10 @@
 }
 
 impl Copies {
-    pub fn new(me: u64, run: u64, s: CopySettings, now_ms: u64) -> Self {
-        let settings = pepperhook_replica::Settings {
-            me,
-            run,
-            zone: s.zone,
-            copies: s.copies,
-            guards: s.guards,
-            lease_ms: s.lease_ms,
-            period_ms: s.period_ms,
-            bytes_per_s: s.bytes_per_s,
-        };
+    pub fn new(settings: Settings, now_ms: u64) -> Self {
+        let zone = settings.zone;
         let replica = Replica::new(settings, now_ms);
-        Self { replica, zone: s.zone, zones: BTreeMap::new(), view: BTreeMap::new() }
+        Self { replica, zone, zones: BTreeMap::new(), view: BTreeMap::new() }
     }
 
     /// The view changed, or a front's zone is known now.
@@ -93,12 +67,12 @@
         (content.len() <= MOST_LANE).then_some(content)
     }
 
-    pub fn keep(&mut self, now_ms: u64, key: u64, body: Option<Vec<u8>>) -> Result<Option<Put>, Refused> {
+    pub fn keep(&mut self, now_ms: u64, key: u64, body: Option<Vec<u8>>) -> Result<(), Refused> {
         match body {
-            Some(body) => self.replica.put(now_ms, key, body).map(Some),
+            Some(body) => self.replica.put(now_ms, key, body),
             None => {
                 self.replica.remove(key);
-                Ok(None)
+                Ok(())
             }
         }
     }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -1,6 +1,6 @@
 //! One front's part.
 
-use crate::copies::{Copies, CopySettings};
+use crate::copies::Copies;
 use crate::readings::{Reading, Readings, SPACE};
 use pepperhook_duties::{Claim, Counters, Duties, Duty, DutyRow, FleetClock, State, Target};
 use pepperhook_exchange::{Exchange, Id, MOST_LANE, Merge, Record, Records, Reject};
@@ -38,7 +38,7 @@
     /// Duties; they need a view.
     pub duties: Option<pepperhook_duties::Settings>,
     /// Copies; they need a view.
-    pub copies: Option<CopySettings>,
+    pub copies: Option<pepperhook_replica::Settings>,
 }
 
 /// What membership is told.
@@ -156,7 +156,7 @@
         Self {
             exchange: Exchange::new(settings.exchange, kept, now_ms),
             duties: settings.duties.filter(|_| membership.is_some()).map(|d| Duties::new(d, now_ms)),
-            copies: settings.copies.filter(|_| membership.is_some()).map(|c| Copies::new(me, run, c, now_ms)),
+            copies: settings.copies.filter(|_| membership.is_some()).map(|c| Copies::new(c, now_ms)),
             membership,
             clock: FleetClock::default(),
             offset_ms: 0,
@@ -263,7 +263,7 @@
         body: Option<Vec<u8>>,
     ) -> Result<(), pepperhook_replica::Refused> {
         let now_ms = self.steady(now_ms);
-        self.copies.as_mut().map_or(Ok(()), |c| c.keep(now_ms, key, body).map(drop))
+        self.copies.as_mut().map_or(Ok(()), |c| c.keep(now_ms, key, body))
     }
 
     /// Duties of a kind are done on these from now on.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,4 +1,4 @@
-//! One front among the others: exchange, membership and duties put together, without I/O.
+//! One front among the others: exchange, membership, duties and copies put together, without I/O.
 //!
 //! Datagrams, time and the ends of duties go in; datagrams, duties to be run, readings that others took and changes
 //! of the view come out. The front's shell carries this out on sockets, and the rehearsal of many fronts in one
@@ -8,6 +8,5 @@
 mod front;
 mod readings;
 
-pub use copies::CopySettings;
 pub use front::{Fleet, MemberRow, Note, Out, READS, Settings, View};
 pub use readings::{Reading, SPACE};
--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -7,7 +7,7 @@
 use pepperhook::{ServerId, ServerState};
 use pepperhook_duties::{Duty, Kind, Target, TargetState};
 use pepperhook_exchange::{Id, Keys, Merge, Record, Store};
-use pepperhook_fleet::{CopySettings, Fleet, Note, Out, READS, Settings, View};
+use pepperhook_fleet::{Fleet, Note, Out, READS, Settings, View};
 use pepperhook_membership::Change;
 use pepperhook_peaks::{Announcement, Refused};
 use pepperhook_replica::StreamRow;
@@ -116,7 +116,9 @@
             kinds: kinds(d),
         });
         let zone = config.decisions.zone.0;
-        let copies = config.replica.map(|r| CopySettings {
+        let copies = config.replica.map(|r| pepperhook_replica::Settings {
+            me,
+            run,
             zone,
             copies: r.copies,
             guards: r.guards,
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -25,5 +25,5 @@
 pub use lease::{Answer, Config, Guard, Guardian, Question, Tenure, majority};
 pub use log::{Applied, Change, Copy, Grade, Key, Log, Position};
 pub use place::{Peer, holders, rank};
-pub use replica::{Counters, Out, Put, Refused, Replica, Settings, StreamRow};
+pub use replica::{Counters, Out, Refused, Replica, Settings, StreamRow};
 pub use wire::{Message, StreamId};
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -65,15 +65,6 @@
     Full,
 }
 
-/// What became of a body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Put {
-    /// It is in a stream that has copies, or will have.
-    Kept,
-    /// The stream it belonged to cannot be written now: the key stands in one that has no copies yet.
-    Apart,
-}
-
 /// What comes out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Out {
@@ -252,7 +243,7 @@
     ///
     /// # Errors
     /// When it is too long, or there is no room.
-    pub fn put(&mut self, now_ms: u64, key: Key, body: Vec<u8>) -> Result<Put, Refused> {
+    pub fn put(&mut self, now_ms: u64, key: Key, body: Vec<u8>) -> Result<(), Refused> {
         if body.len() > MOST_BODY {
             return Err(Refused::Long);
         }
@@ -264,7 +255,7 @@
         self.place.insert(key, stream);
         let Some(own) = self.own.get_mut(&stream) else { return Err(Refused::Full) };
         own.log.put(key, body);
-        Ok(if own.offered || stream.turn == 0 { Put::Kept } else { Put::Apart })
+        Ok(())
     }
 
     /// The stream that takes new keys of a shard. One that was offered and is not held now may be another's already: a
@@ -315,6 +306,7 @@
     /// This front's run is a later one now: as a guard it counts as another from here on.
     pub fn raise(&mut self, run: u64) {
         self.settings.run = run;
+        self.view.insert(self.settings.me, Peer { run, zone: self.settings.zone });
     }
 
     // ---- time ----------------------------------------------------------------------------------
