Read again: one check of guards, room for keys whichever way they come, no ranking each tick

The holders of each stream were ranked over the whole view every 20 ms though they are only used at a look. What a list of guards may be was checked in three forms, two of which let through more than 64 in an answer of a guard; it is one check now, and stricter there. Copies had a bound on keys where they came whole, not where they came by changes. A session that could not be written as a copy would have been taken for one that ended.

--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -405,7 +405,8 @@
 
 /// Other fronts get a copy of a session, or let go of it.
 pub fn copy(shell: &Rc<Shell>, key: u64, copied: Option<&Copied>) {
-    let body = copied.and_then(|c| postcard::to_stdvec(c).ok());
+    // What cannot be written must not be taken for a session that ended.
+    let Ok(body) = copied.map(postcard::to_stdvec).transpose() else { return };
     let kept = shell.spread.fleet.borrow_mut().keep(shell.clock.now() / 1_000_000, key, body);
     if let Err(why) = kept {
         let warned = shell.spread.warned.replace(shell.spread.warned.get() + 1);
--- a/crates/replica/src/lease.rs
+++ b/crates/replica/src/lease.rs
@@ -27,6 +27,18 @@
     pub next: Option<Vec<Guardian>>,
 }
 
+/// Guards, or holders of copies, that a message may name at most.
+pub const MOST_NAMED: usize = 64;
+
+impl Config {
+    /// Whether it names guards, and no more than there may be.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let fits = |guards: &Vec<Guardian>| (1..=MOST_NAMED).contains(&guards.len());
+        fits(&self.guards) && self.next.as_ref().is_none_or(fits)
+    }
+}
+
 /// More than half.
 #[must_use]
 pub fn majority(of: usize) -> usize {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -1,6 +1,6 @@
 //! One front's part: what it writes, what it keeps for others, what it guards.
 
-use crate::lease::{Answer, Config, Guard, Guardian, Question, Tenure};
+use crate::lease::{Answer, Config, Guard, Guardian, MOST_NAMED, Question, Tenure};
 use crate::log::{Applied, Copy, Grade, Key, Log, Position};
 use crate::place::{Peer, holders, rank};
 use crate::wire::{Message, StreamId, decode, encode};
@@ -396,7 +396,6 @@
 
     /// Sees to the copies of an own stream, as long as it is held.
     fn spread(&mut self, now_ms: u64, stream: StreamId, look: bool, out: &mut Vec<Out>) {
-        let wanted = holders(stream, self.settings.me, &self.view, self.settings.copies);
         let Some(own) = self.own.get_mut(&stream) else { return };
         if !own.tenure.holds(now_ms) || (own.log.is_empty() && !own.offered) {
             return;
@@ -404,6 +403,7 @@
         let epoch = own.log.epoch();
         let mut forget = Vec::new();
         if look {
+            let wanted = holders(stream, self.settings.me, &self.view, self.settings.copies);
             // A former holder keeps its copy until all that are wanted have caught up.
             let caught = wanted.iter().all(|f| own.to.get(f).is_some_and(|s| s.at == Some(own.end())));
             if caught {
@@ -497,7 +497,7 @@
                 held.claim = Claim::Bidding(now_ms, false);
                 let others = held.holders.clone();
                 let bid = Message::Bid { stream, at };
-                others.into_iter().for_each(|front| self.send_if_other(front, &bid, out));
+                others.into_iter().for_each(|front| self.send(front, &bid, out));
             }
             Claim::Bidding(since, better) if since + 2 * period <= now_ms => {
                 if *better {
@@ -613,6 +613,9 @@
     fn heard(&mut self, now_ms: u64, from: u64, message: Message, out: &mut Vec<Out>) {
         match message {
             Message::Changes { stream, epoch, base, from: first, upto, digest, changes } => {
+                if self.lacks_room(changes.len()) {
+                    return;
+                }
                 let went_on = Position { grade: Grade::Whole, epoch: base.0, seq: base.1 };
                 let Some(held) = self.written(now_ms, stream, epoch, from, went_on, out) else { return };
                 let applied = held.copy.apply(epoch, base, first, upto, digest, &changes);
@@ -620,12 +623,7 @@
                 self.stands(stream, out);
             }
             Message::Whole { stream, epoch, cut, head, after, until, entries } => {
-                let keys: usize = self.held.values().map(|h| h.copy.len()).sum();
-                if keys + entries.len() > MOST_KEYS {
-                    self.counters.refused += 1;
-                    return;
-                }
-                if self.own.contains_key(&stream) {
+                if self.own.contains_key(&stream) || self.lacks_room(entries.len()) {
                     return;
                 }
                 let nowhere = Position::default();
@@ -634,11 +632,7 @@
                 self.stands(stream, out);
             }
             Message::Kept { stream, epoch, holders, config } => {
-                let sound = !config.guards.is_empty()
-                    && config.guards.len() <= 64
-                    && holders.len() <= 64
-                    && config.next.as_ref().is_none_or(|n| (1..=64).contains(&n.len()));
-                if !sound {
+                if !config.is_sound() || holders.len() > MOST_NAMED {
                     self.counters.refused += 1;
                 } else if !self.own.contains_key(&stream) {
                     let nowhere = Position::default();
@@ -693,6 +687,13 @@
         }
     }
 
+    /// Whether so many keys more are too many for all copies together; changes of keys that are known count too.
+    fn lacks_room(&mut self, more: usize) -> bool {
+        let lacks = more > 0 && more + self.held.values().map(|h| h.copy.len()).sum::<usize>() > MOST_KEYS;
+        self.counters.refused += u64::from(lacks);
+        lacks
+    }
+
     /// The copy of a stream whose writer spoke under this epoch, if it is not an earlier one's word.
     fn written(
         &mut self,
@@ -746,9 +747,8 @@
     fn guard(&mut self, now_ms: u64, stream: StreamId, question: &Question) -> Option<Answer> {
         let (me, config) = ((self.settings.me, self.settings.run), question.config);
         let named = config.guards.contains(&me) || config.next.iter().flatten().any(|g| *g == me);
-        let sound = config.guards.len() <= 64 && config.next.as_ref().is_none_or(|n| n.len() <= 64);
         let room = self.guarded.contains_key(&stream) || self.guarded.len() < MOST_GUARDED;
-        if !named || !sound || !room {
+        if !named || !config.is_sound() || !room {
             self.counters.refused += 1;
             return None;
         }
@@ -781,7 +781,7 @@
                 Answer::Taken { epoch, .. } => own.contested = own.contested.max(epoch),
                 // Whoever replaced them holds the stream: the new ones tell who it is.
                 Answer::Replaced(config)
-                    if config.number > own.tenure.config().number && !config.guards.is_empty() =>
+                    if config.number > own.tenure.config().number && config.is_sound() =>
                 {
                     own.tenure = Tenure::new(own.log.epoch(), config, self.settings.lease_ms);
                 }
@@ -809,7 +809,7 @@
             Answer::Replaced(config) => {
                 let newer = (config.number, config.next.is_some())
                     > (tenure.config().number, tenure.config().next.is_some());
-                if newer && !config.guards.is_empty() {
+                if newer && config.is_sound() {
                     *tenure = Tenure::new(tenure.epoch, config.clone(), lease);
                     held.config = Some(config);
                 }
@@ -818,13 +818,7 @@
         }
     }
 
-    fn send_if_other(&mut self, to: u64, message: &Message, out: &mut Vec<Out>) {
-        if to != self.settings.me {
-            self.send(to, message, out);
-        }
-    }
-
-    /// Sends a message; one to this front itself is a question to itself as guard, and is answered at once.
+    /// Sends a message. A question to itself as guard is answered at once; nothing else goes to itself.
     fn send(&mut self, to: u64, message: &Message, out: &mut Vec<Out>) {
         if to == self.settings.me {
             if let Message::Hold { stream, epoch, asked_ms, config, at, from, writes } = message {
