--- /dev/null
+++ b/crates/agreement/src/lib.rs
@@ -0,0 +1,9 @@
+//! A log that the fleet agrees on. `docs/agreement.md` has the design and what is promised.
+//!
+//! Few voters decide entries; every other front learns them. A front that *holds* knows for a stated time that nothing
+//! newer takes effect without it. Time, messages and the disk's answers are handed in; [`Store`](store::Store) alone
+//! does I/O.
+
+pub mod types;
+
+pub use types::*;
