--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -4,6 +4,11 @@
 //! newer takes effect without it. Time, messages and the disk's answers are handed in; [`Store`](store::Store) alone
 //! does I/O.
 
+pub mod hold;
+pub mod learn;
+pub mod parcel;
+pub mod registers;
 pub mod types;
 
+pub use registers::{Outcome, Register, Registers};
 pub use types::*;
--- /dev/null
+++ b/crates/agreement/src/registers.rs
@@ -0,0 +1,388 @@
+//! The agreed state: registers by subject, the voters, and the keys that came last.
+//!
+//! It is a pure function of the entries, so that two fronts at one number hold the same bytes, and a snapshot is those
+//! bytes. A command applies only to the version that it expects; a key that came before has its first outcome again.
+
+use crate::types::{
+    Command, Config, Entry, Hash, Key, MOST_BODY, MOST_VOTERS, ORIGIN, Subject, VoterId, What, chain,
+};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, VecDeque};
+use thiserror::Error;
+
+/// Registers at most.
+pub const MOST_REGISTERS: usize = 4_096;
+/// Bytes of all bodies at most.
+pub const MOST_BYTES: usize = 4 << 20;
+/// Keys remembered with their outcomes.
+pub const MOST_KEYS: usize = 4_096;
+/// Bytes of a snapshot at most: all bodies, and 128 for each register and each key.
+pub const MOST_SNAPSHOT: usize = MOST_BYTES + 128 * (MOST_REGISTERS + MOST_KEYS) + 1_024;
+
+/// What a command came to. The same on every front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The register has the body.
+    Taken,
+    /// The register stood elsewhere, and still does.
+    Conflict {
+        /// Number of the entry that it stands at, 0 if it is empty.
+        stands: u64,
+        /// Who wrote it, 0 if it is empty.
+        author: u64,
+        /// By which command, 0 if it is empty.
+        key: Key,
+    },
+    /// There is no room for it.
+    Full,
+    /// It ended its configuration; the one of this number begins.
+    Ended(u32),
+    /// It would have ended another configuration than this, which goes on.
+    Stale(u32),
+    /// A body or voters that may not be.
+    Unsound,
+}
+
+/// A register that was written.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Register {
+    /// The entry that wrote it.
+    pub number: u64,
+    /// The command of that entry.
+    pub key: Key,
+    /// Who proposed it.
+    pub author: u64,
+    /// What it says; never empty.
+    pub body: Vec<u8>,
+}
+
+/// Bytes that are no snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("not a snapshot of agreed state")]
+pub struct NoSnapshot;
+
+/// The agreed state after an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registers {
+    number: u64,
+    hash: Hash,
+    /// Drawn from the first voters: another fleet's state, or the same fleet's begun anew, has another.
+    origin: u64,
+    config: Option<Config>,
+    /// The configuration from which the voters have been the same. Holds go by it, so that folding does not touch them.
+    since: u32,
+    map: BTreeMap<Subject, Register>,
+    /// The last keys with the entry that each came in first, oldest first.
+    keys: VecDeque<(Key, u64, Outcome)>,
+    #[serde(skip)]
+    index: BTreeMap<Key, (u64, Outcome)>,
+    #[serde(skip)]
+    bytes: usize,
+}
+
+impl Default for Registers {
+    fn default() -> Self {
+        Self {
+            number: 0,
+            hash: ORIGIN,
+            origin: 0,
+            config: None,
+            since: 0,
+            map: BTreeMap::new(),
+            keys: VecDeque::new(),
+            index: BTreeMap::new(),
+            bytes: 0,
+        }
+    }
+}
+
+/// Whether these may vote: 1 to [`MOST_VOTERS`], ascending, each front once.
+#[must_use]
+pub fn sound_voters(voters: &[VoterId]) -> bool {
+    (1..=MOST_VOTERS).contains(&voters.len())
+        && voters.iter().all(|v| v.store != 0)
+        && voters.windows(2).all(|w| matches!(w, [a, b] if a.front < b.front))
+}
+
+impl Registers {
+    /// The state before the first entry, under the first voters. `None` if those may not vote.
+    #[must_use]
+    pub fn genesis(voters: &[VoterId]) -> Option<Self> {
+        let mut h = Sha256::new();
+        for v in voters {
+            h.update(v.front.to_be_bytes());
+            h.update(v.store.to_be_bytes());
+        }
+        let origin = first8(&h.finalize().into()).max(1);
+        let config = Some(Config { number: 1, first: 1, voters: voters.to_vec() });
+        sound_voters(voters).then(|| Self { origin, config, since: 1, ..Self::default() })
+    }
+
+    /// Number of the last entry, 0 before the first.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Hash of the last entry.
+    #[must_use]
+    pub fn hash(&self) -> &Hash {
+        &self.hash
+    }
+
+    /// Which fleet's state it is, 0 for none.
+    #[must_use]
+    pub fn origin(&self) -> u64 {
+        self.origin
+    }
+
+    /// The voters, once there are any.
+    #[must_use]
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref()
+    }
+
+    /// The number of the voters' configuration, 0 before the first.
+    #[must_use]
+    pub fn config_number(&self) -> u32 {
+        self.config.as_ref().map_or(0, |c| c.number)
+    }
+
+    /// The configuration from which the voters have been the same.
+    #[must_use]
+    pub fn since(&self) -> u32 {
+        self.since
+    }
+
+    /// A register, if it is not empty.
+    #[must_use]
+    pub fn get(&self, subject: Subject) -> Option<&Register> {
+        self.map.get(&subject)
+    }
+
+    /// All that are not empty.
+    pub fn iter(&self) -> impl Iterator<Item = (&Subject, &Register)> {
+        self.map.iter()
+    }
+
+    /// The entry a command first came in, and its outcome, if it is remembered.
+    #[must_use]
+    pub fn outcome(&self, key: Key) -> Option<(u64, Outcome)> {
+        self.index.get(&key).copied()
+    }
+
+    /// The next entry. A command that came before changes nothing and has its first outcome.
+    pub fn apply(&mut self, command: Command) -> (Entry, Outcome) {
+        let number = self.number.saturating_add(1);
+        let hash = chain(&self.hash, number, &command);
+        (self.number, self.hash) = (number, hash);
+        let outcome = match self.outcome(command.key) {
+            Some((_, first)) => first,
+            None => {
+                let outcome = self.change(number, &command);
+                self.remember(command.key, number, outcome);
+                outcome
+            }
+        };
+        (Entry { number, hash, command }, outcome)
+    }
+
+    fn change(&mut self, number: u64, command: &Command) -> Outcome {
+        match &command.what {
+            What::Put { subject, expects, body } => {
+                if body.len() > MOST_BODY {
+                    return Outcome::Unsound;
+                }
+                let old = self.map.get(subject);
+                let stands = old.map_or(0, |r| r.number);
+                if stands != *expects {
+                    let (author, key) = old.map_or((0, Key(0)), |r| (r.author, r.key));
+                    return Outcome::Conflict { stands, author, key };
+                }
+                let freed = old.map_or(0, |r| r.body.len());
+                if body.is_empty() {
+                    self.map.remove(subject);
+                    self.bytes = self.bytes.saturating_sub(freed);
+                    return Outcome::Taken;
+                }
+                let bytes = self.bytes.saturating_sub(freed).saturating_add(body.len());
+                if bytes > MOST_BYTES || (old.is_none() && self.map.len() >= MOST_REGISTERS) {
+                    return Outcome::Full;
+                }
+                self.bytes = bytes;
+                let (key, author) = (command.key, command.author);
+                self.map.insert(*subject, Register { number, key, author, body: body.clone() });
+                Outcome::Taken
+            }
+            What::Voters { expects, voters } => {
+                let here = self.config_number();
+                if *expects != here {
+                    return Outcome::Stale(here);
+                }
+                if !sound_voters(voters) {
+                    return Outcome::Unsound;
+                }
+                let next = here.saturating_add(1);
+                if self.config.as_ref().is_none_or(|c| c.voters != *voters) {
+                    self.since = next;
+                }
+                let first = number.saturating_add(1);
+                self.config = Some(Config { number: next, first, voters: voters.clone() });
+                Outcome::Ended(next)
+            }
+        }
+    }
+
+    fn remember(&mut self, key: Key, number: u64, outcome: Outcome) {
+        if self.keys.len() >= MOST_KEYS
+            && let Some((old, ..)) = self.keys.pop_front()
+        {
+            self.index.remove(&old);
+        }
+        self.keys.push_back((key, number, outcome));
+        self.index.insert(key, (number, outcome));
+    }
+
+    /// All of it as bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// State from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Bytes that no [`Registers::snapshot`] can have given.
+    pub fn load(bytes: &[u8]) -> Result<Self, NoSnapshot> {
+        if bytes.len() > MOST_SNAPSHOT {
+            return Err(NoSnapshot);
+        }
+        let mut new: Self = match postcard::take_from_bytes(bytes) {
+            Ok((new, [])) => new,
+            _ => return Err(NoSnapshot),
+        };
+        new.bytes = new.map.values().map(|r| r.body.len()).sum();
+        new.index = new.keys.iter().map(|(k, n, o)| (*k, (*n, *o))).collect();
+        let sound = new.map.len() <= MOST_REGISTERS
+            && new.bytes <= MOST_BYTES
+            && new
+                .map
+                .values()
+                .all(|r| (1..=MOST_BODY).contains(&r.body.len()) && (1..=new.number).contains(&r.number))
+            && new.keys.len() <= MOST_KEYS
+            && new.index.len() == new.keys.len()
+            && new.keys.iter().all(|(_, n, _)| (1..=new.number).contains(n))
+            && new.config.as_ref().is_some_and(|c| {
+                c.number >= 1
+                    && (1..=c.number).contains(&new.since)
+                    && (1..=new.number.saturating_add(1)).contains(&c.first)
+                    && sound_voters(&c.voters)
+            })
+            && new.origin != 0
+            && (new.number > 0 || new.hash == ORIGIN);
+        // Written again it has to be the same: no second form of one state.
+        if sound && new.snapshot() == bytes { Ok(new) } else { Err(NoSnapshot) }
+    }
+}
+
+/// The first eight bytes of a hash: enough to tell that two differ.
+#[must_use]
+pub fn first8(hash: &Hash) -> u64 {
+    hash.iter().take(8).fold(0, |sum, b| sum << 8 | u64::from(*b))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn voters() -> Vec<VoterId> {
+        [1, 2, 3].map(|front| VoterId { front, store: front + 100 }).to_vec()
+    }
+
+    fn put(key: u128, number: u64, expects: u64, body: &[u8]) -> Command {
+        let subject = Subject { space: 1, number };
+        Command { key: Key(key), author: 7, what: What::Put { subject, expects, body: body.to_vec() } }
+    }
+
+    #[test]
+    fn a_command_applies_to_what_it_expects_and_counts_once() {
+        let mut r = Registers::genesis(&voters()).expect("sound");
+        assert_eq!(r.apply(put(1, 0, 0, b"a")).1, Outcome::Taken);
+        let conflict = Outcome::Conflict { stands: 1, author: 7, key: Key(1) };
+        assert_eq!(r.apply(put(2, 0, 0, b"b")).1, conflict);
+        assert_eq!(r.apply(put(3, 0, 1, b"c")).1, Outcome::Taken);
+        // Again: the first outcome, though it would be another now.
+        assert_eq!(
+            (r.apply(put(1, 0, 0, b"a")).1, r.apply(put(2, 0, 0, b"b")).1),
+            (Outcome::Taken, conflict)
+        );
+        assert_eq!(
+            (r.number(), r.get(Subject { space: 1, number: 0 }).expect("set").body.as_slice()),
+            (5, &b"c"[..])
+        );
+        assert_eq!(r.apply(put(4, 0, 3, b"")).1, Outcome::Taken);
+        assert!(r.get(Subject { space: 1, number: 0 }).is_none());
+        assert_eq!(r.apply(put(5, 0, 0, &vec![0; MOST_BODY + 1])).1, Outcome::Unsound);
+    }
+
+    #[test]
+    fn registers_bytes_and_keys_are_bounded_and_a_full_snapshot_loads() {
+        let mut r = Registers::genesis(&voters()).expect("sound");
+        let body = vec![9; MOST_BODY];
+        for n in 0..(MOST_BYTES / MOST_BODY) as u64 {
+            assert_eq!(r.apply(put(u128::MAX - u128::from(n), n, 0, &body)).1, Outcome::Taken);
+        }
+        assert_eq!(r.apply(put(1, 9_999, 0, b"x")).1, Outcome::Full);
+        assert_eq!(r.apply(put(2, 0, 1, b"x")).1, Outcome::Taken);
+        for n in 1_000..10_000_u64 {
+            r.apply(put(u128::MAX / 2 + u128::from(n), n, 0, b"y"));
+        }
+        assert_eq!((r.map.len(), r.keys.len(), r.index.len()), (MOST_REGISTERS, MOST_KEYS, MOST_KEYS));
+        let bytes = r.snapshot();
+        assert!(bytes.len() <= MOST_SNAPSHOT, "{}", bytes.len());
+        assert_eq!(Registers::load(&bytes), Ok(r));
+    }
+
+    #[test]
+    fn voters_change_from_their_own_configuration_only() {
+        let mut r = Registers::genesis(&voters()).expect("sound");
+        let change = |key, expects, voters: &[VoterId]| Command {
+            key: Key(key),
+            author: 1,
+            what: What::Voters { expects, voters: voters.to_vec() },
+        };
+        assert_eq!(r.apply(change(1, 1, &voters())).1, Outcome::Ended(2));
+        assert_eq!((r.since(), r.config().expect("there").first), (1, 2), "folded: the same voters");
+        assert_eq!(r.apply(change(2, 1, &voters())).1, Outcome::Stale(2));
+        assert_eq!(r.apply(change(3, 2, &[])).1, Outcome::Unsound);
+        assert_eq!(r.apply(change(4, 2, &voters()[..1])).1, Outcome::Ended(3));
+        assert_eq!(r.since(), 3);
+    }
+
+    #[test]
+    fn hostile_snapshots_are_refused() {
+        let mut r = Registers::genesis(&voters()).expect("sound");
+        for n in 0..9 {
+            r.apply(put(n, n as u64, 0, b"body"));
+        }
+        let bytes = r.snapshot();
+        for cut in 0..bytes.len() {
+            assert_eq!(Registers::load(&bytes[..cut]), Err(NoSnapshot));
+        }
+        assert_eq!(Registers::load(&[0xff; 4_096]), Err(NoSnapshot));
+        assert_eq!(Registers::load(&Registers::default().snapshot()), Err(NoSnapshot), "no fleet's");
+        let mut long = bytes.clone();
+        long.push(0);
+        assert_eq!(Registers::load(&long), Err(NoSnapshot));
+        for at in 0..bytes.len() {
+            let mut other = bytes.clone();
+            other[at] ^= 0x55;
+            // It may load as another sound state, never as one that breaks a bound.
+            if let Ok(other) = Registers::load(&other) {
+                assert!(other.map.len() <= MOST_REGISTERS && other.bytes <= MOST_BYTES);
+            }
+        }
+    }
+}
