A voter around omnipaxos that says nothing before it is synced, and its store

Entries that voters decide need a log that survives crashes and hostile links. omnipaxos takes links for ordered, free of doubles and syncs for instant; the voter around it numbers messages by life and lane, refuses what is older, holds back what rests on a write until the disk has answered, and asks anew when something was lost. The store is redb, one synced transaction a write.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -4,6 +4,9 @@
 //! newer takes effect without it. Time, messages and the disk's answers are handed in; [`Store`](store::Store) alone
 //! does I/O.
 
+mod journal;
+pub mod store;
 pub mod types;
+pub mod voter;
 
 pub use types::*;
