--- a/crates/agreement/src/genesis.rs
+++ b/crates/agreement/src/genesis.rs
@@ -37,7 +37,9 @@
         if front == self.me.front || !self.named.contains(&front) || said.len() > MOST_VOTERS {
             return;
         }
-        let Some(itself) = said.iter().find(|h| h.front == front && h.run == run && h.store != 0) else { return };
+        let Some(itself) = said.iter().find(|h| h.front == front && h.run == run && h.store != 0) else {
+            return;
+        };
         // A run has one store; a later run replaces an earlier one for good.
         match self.heard.get(&front) {
             Some(known) if known.run > run || (known.run == run && known.store != itself.store) => return,
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -4,11 +4,21 @@
 //! newer takes effect without it. Time, messages and the disk's answers are handed in; [`Store`](store::Store) alone
 //! does I/O.
 
+pub mod genesis;
 pub mod hold;
+mod journal;
 pub mod learn;
+pub mod node;
 pub mod parcel;
+pub mod proposals;
+pub mod reach;
 pub mod registers;
+pub mod store;
 pub mod types;
+pub mod voter;
+pub mod wire;
 
+pub use node::{Node, Note, Out, Settings, View};
+pub use proposals::Answer;
 pub use registers::{Outcome, Register, Registers};
 pub use types::*;
--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -260,7 +260,8 @@
             out.push(Out::Proposed { key, answer: Answer::Unsound });
         } else if let Some((number, outcome)) = self.registers.outcome(key) {
             out.push(Out::Proposed { key, answer: Answer::Applied { number, outcome } });
-        } else if !self.proposals.add(now_ms, self.s.propose_ms, command, self.random.random_range(0..1_000)) {
+        } else if !self.proposals.add(now_ms, self.s.propose_ms, command, self.random.random_range(0..1_000))
+        {
             out.push(Out::Proposed { key, answer: Answer::Busy });
         } else {
             self.send_proposals(now_ms, out);
@@ -440,7 +441,11 @@
 
     /// What a voter has is not what is here.
     fn fork(&mut self, number: u64, here: u64, there: u64) {
-        if self.registers.number() == 0 && self.seat.is_none() && self.begun.is_none() && self.store_config == 0 {
+        if self.registers.number() == 0
+            && self.seat.is_none()
+            && self.begun.is_none()
+            && self.store_config == 0
+        {
             // Nothing was agreed here: it learns whatever is.
             self.registers = Registers::default();
             self.hold = Hold::new(self.s.hold_ms);
--- a/crates/agreement/src/node/front.rs
+++ b/crates/agreement/src/node/front.rs
@@ -46,7 +46,9 @@
         self.parcels.tick(now_ms, &mut leave);
         for (to, what) in leave {
             let message = match what {
-                Leaves::Piece(Piece { id, length, index, bytes }) => Message::Piece { id, length, index, bytes },
+                Leaves::Piece(Piece { id, length, index, bytes }) => {
+                    Message::Piece { id, length, index, bytes }
+                }
                 Leaves::Ack(Ack { id, has }) => Message::Ack { id, has },
             };
             self.say(now_ms, to, &message, out);
@@ -61,8 +63,7 @@
         match &self.seat {
             Some(seat) => self.told_config > seat.config_number(),
             None => {
-                self.learner.is_behind(&self.registers)
-                    || self.told_config > self.registers.config_number()
+                self.learner.is_behind(&self.registers) || self.told_config > self.registers.config_number()
             }
         }
     }
@@ -110,11 +111,13 @@
 
     /// Its store was lost or put away, and the former one is still a voter.
     fn replace_former_self(&mut self, now_ms: u64, out: &mut Vec<Out>) {
-        let Some(id) = self.id.filter(|_| !self.stopped && !self.forked && now_ms >= self.next_replace_ms) else {
+        let Some(id) = self.id.filter(|_| !self.stopped && !self.forked && now_ms >= self.next_replace_ms)
+        else {
             return;
         };
         let Some(config) = self.registers.config() else { return };
-        let Some(old) = config.voters.iter().find(|v| v.front == id.front && v.store != id.store).copied() else {
+        let Some(old) = config.voters.iter().find(|v| v.front == id.front && v.store != id.store).copied()
+        else {
             return;
         };
         self.next_replace_ms = now_ms.saturating_add(REPLACE_MS);
@@ -167,15 +170,17 @@
                 self.say(now_ms, from, &looked, out);
             }
             Message::Looked { question, store, since, granted, floor, cleared, hash } => {
-                self.looked(now_ms, from, &head, (question, store, since), Granted { granted, floor, cleared }, hash, out);
+                let (of, answer) = ((question, store, since, hash), Granted { granted, floor, cleared });
+                self.looked(now_ms, from, &head, of, answer, out);
             }
             Message::Ask(want) => self.asked_by(now_ms, from, &want, out),
             Message::Stretch(s) => {
                 if self.is_behind() {
                     match self.learner.piece(&s, &self.registers) {
                         Some(Got::Commands(commands)) => self.learned(now_ms, commands, out),
-                        Some(Got::Snapshot(new)) if self.seat.is_none()
-                            || new.config_number() > self.registers.config_number() =>
+                        Some(Got::Snapshot(new))
+                            if self.seat.is_none()
+                                || new.config_number() > self.registers.config_number() =>
                         {
                             self.replace(now_ms, *new, out);
                         }
@@ -193,9 +198,16 @@
                 let config = self.registers.config();
                 let (own, origin) = (first8(self.registers.hash()), self.registers.origin());
                 // From a voter, and about what this front has now: not an answer to a question long ago.
-                let now = if number == 0 { here != origin } else { number == self.registers.number() && here != own };
+                let now = if number == 0 {
+                    here != origin
+                } else {
+                    number == self.registers.number() && here != own
+                };
                 let named = self.s.voters.contains(&from);
-                if now && origin != 0 && (named || config.is_some_and(|c| c.voters.iter().any(|v| v.front == from))) {
+                if now
+                    && origin != 0
+                    && (named || config.is_some_and(|c| c.voters.iter().any(|v| v.front == from)))
+                {
                     self.fork(number, if number == 0 { origin } else { own }, here);
                 }
             }
@@ -209,7 +221,8 @@
             }
             Message::Declined { key, leader } => self.proposals.declined(now_ms, key, leader),
             Message::Piece { id, length, index, bytes } => {
-                let (messages, ack) = self.parcels.piece(now_ms, from, run, &Piece { id, length, index, bytes });
+                let (messages, ack) =
+                    self.parcels.piece(now_ms, from, run, &Piece { id, length, index, bytes });
                 if let Some(Ack { id, has }) = ack {
                     self.say(now_ms, from, &Message::Ack { id, has }, out);
                 }
@@ -237,9 +250,8 @@
         now_ms: u64,
         from: u64,
         head: &Head,
-        (question, store, since): (u64, u64, u32),
+        (question, store, since, hash): (u64, u64, u32, u64),
         answer: Granted,
-        hash: u64,
         out: &mut Vec<Out>,
     ) {
         let (number, origin) = (self.registers.number(), self.registers.origin());
@@ -251,7 +263,11 @@
                 self.fork(number, own, hash);
             }
         }
-        if origin != 0 && head.origin != 0 && head.origin != origin && (votes || self.s.voters.contains(&from)) {
+        if origin != 0
+            && head.origin != 0
+            && head.origin != origin
+            && (votes || self.s.voters.contains(&from))
+        {
             self.fork(0, origin, head.origin);
         }
         let asked = self.asked.iter().find(|(q, _)| *q == question).map(|(_, ms)| *ms);
--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -152,7 +152,8 @@
         // The seat in the configuration before is given up, with its grants: they go on only among the same voters.
         let left = self.seat.take();
         let grants = left.map(|s| s.grants).filter(|g| g.since() == self.registers.since());
-        let grants = grants.or_else(|| self.begun.take_if(|b| b.config != config.number).and_then(|b| b.grants));
+        let grants =
+            grants.or_else(|| self.begun.take_if(|b| b.config != config.number).and_then(|b| b.grants));
         let grants = grants.filter(|g| g.since() == self.registers.since());
         let Some(id) = member else {
             if here.is_some() {
@@ -162,7 +163,8 @@
             return;
         };
         let most = majority(config.voters.len()).saturating_sub(1);
-        let fellows = config.voters.iter().filter(|v| v.front != id.front && self.welcomed.contains(&v.front));
+        let fellows =
+            config.voters.iter().filter(|v| v.front != id.front && self.welcomed.contains(&v.front));
         self.admitted |= fellows.count() >= most;
         if !self.admitted || self.begun.is_some() {
             return;
@@ -277,7 +279,9 @@
                 VoterOut::Say { to, message } => self.say_voter(now_ms, to, message, out),
                 VoterOut::Decided { index, command } => {
                     // Behind the end of its configuration nothing counts.
-                    let Some(seat) = self.seat.as_mut().filter(|s| s.config.number == config) else { continue };
+                    let Some(seat) = self.seat.as_mut().filter(|s| s.config.number == config) else {
+                        continue;
+                    };
                     seat.sealed.remove(&index);
                     let number = first.saturating_add(index);
                     if number == self.registers.number().saturating_add(1) {
@@ -319,7 +323,12 @@
     }
 
     /// Puts a command into the log, if this is the leader. Otherwise who is, if known.
-    pub(super) fn offer(&mut self, now_ms: u64, command: Command, out: &mut Vec<Out>) -> Result<(), Option<u64>> {
+    pub(super) fn offer(
+        &mut self,
+        now_ms: u64,
+        command: Command,
+        out: &mut Vec<Out>,
+    ) -> Result<(), Option<u64>> {
         if self.registers.outcome(command.key).is_some() || self.recent.contains_key(&command.key) {
             return Ok(());
         }
--- a/crates/agreement/src/parcel.rs
+++ b/crates/agreement/src/parcel.rs
@@ -188,14 +188,8 @@
         self.to.get(&to).is_some_and(|t| t.open.is_some() || !t.waiting.is_empty())
     }
 
-    /// A piece came; the whole message once it was the last. `run` is the sender's.
-    pub fn piece(
-        &mut self,
-        now_ms: u64,
-        from: u64,
-        run: u64,
-        piece: &Piece,
-    ) -> (Option<Vec<u8>>, Option<Ack>) {
+    /// A piece came; the parcel's messages once it was the last. `run` is the sender's.
+    pub fn piece(&mut self, now_ms: u64, from: u64, run: u64, piece: &Piece) -> (Vec<Vec<u8>>, Option<Ack>) {
         let (length, index) = (piece.length as usize, usize::from(piece.index));
         let pieces = count(length);
         let here = index.saturating_mul(PIECE);
--- a/crates/agreement/src/proposals.rs
+++ b/crates/agreement/src/proposals.rs
@@ -105,7 +105,8 @@
 
     /// Those whose time is over.
     pub fn expired(&mut self, now_ms: u64) -> Vec<Key> {
-        let over: Vec<Key> = self.open.iter().filter(|(_, o)| o.until_ms <= now_ms).map(|(k, _)| *k).collect();
+        let over: Vec<Key> =
+            self.open.iter().filter(|(_, o)| o.until_ms <= now_ms).map(|(k, _)| *k).collect();
         over.iter().for_each(|k| drop(self.open.remove(k)));
         over
     }
@@ -118,7 +119,8 @@
         }
         for open in self.open.values_mut().filter(|o| o.next_ms <= now_ms) {
             let to = open.leader.take().or(leads);
-            let to = to.filter(|l| voters.contains(l)).or_else(|| voters.get(open.turn % voters.len()).copied());
+            let to =
+                to.filter(|l| voters.contains(l)).or_else(|| voters.get(open.turn % voters.len()).copied());
             open.turn = open.turn.wrapping_add(1);
             open.next_ms = now_ms.saturating_add(AGAIN_MS);
             due.extend(to.map(|to| (to, open.command.clone())));
--- a/crates/agreement/src/reach.rs
+++ b/crates/agreement/src/reach.rs
@@ -5,10 +5,10 @@
 //! what it promised. What is remembered is in memory: if all that remember restart as well, it is not found out.
 
 use crate::store::{KeptLog, Op};
+use crate::types::{Config, VoterId};
 use omnipaxos::ballot_leader_election::Ballot;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use crate::types::{Config, VoterId};
 
 /// How far a disk is. It only grows: within one promise a log is replaced once, when it is first accepted under it, and
 /// grows from there.
@@ -55,7 +55,10 @@
         for op in ops {
             match op {
                 Op::Begin { config, .. } => {
-                    *self = Self { reach: Reach { config: config.number, ..Reach::default() }, ..Self::default() };
+                    *self = Self {
+                        reach: Reach { config: config.number, ..Reach::default() },
+                        ..Self::default()
+                    };
                 }
                 Op::Promise(round) => self.promise.clone_from(round),
                 Op::Accepted(round) => self.accepted.clone_from(round),
