--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -161,8 +161,6 @@
     admitted: bool,
     /// Stores of fronts that asked lately, and when.
     stores: BTreeMap<u64, (u64, u64)>,
-    /// Keys that went into the log, and when.
-    recent: BTreeMap<Key, u64>,
     next_hello_ms: u64,
     next_vote_ms: u64,
     next_fold_ms: u64,
@@ -208,7 +206,6 @@
             welcomed: BTreeSet::new(),
             admitted: false,
             stores: BTreeMap::new(),
-            recent: BTreeMap::new(),
             next_hello_ms: now_ms,
             next_vote_ms: now_ms,
             next_fold_ms: now_ms,
@@ -411,7 +408,6 @@
             source.applied(&entry, &self.registers);
         }
         out.push(Out::Applied { entry, outcome });
-        self.recent.remove(&key);
         if self.proposals.applied(key) {
             let (number, outcome) = self.registers.outcome(key).unwrap_or((number, outcome));
             out.push(Out::Proposed { key, answer: Answer::Applied { number, outcome } });
--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -11,7 +11,7 @@
 use crate::wire::{Head, Message, encode};
 use rand::Rng;
 use sha2::{Digest, Sha256};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A voter's tick, milliseconds.
 const VOTE_MS: u64 = 50;
@@ -21,9 +21,6 @@
 const FOLD_ENTRIES: u64 = 128;
 const FOLD_BYTES: usize = 128 * 1024;
 const FOLD_MS: u64 = 1_000;
-/// A command that is in the log is not put there again for this long, milliseconds.
-const RECENT_MS: u64 = 2_000;
-const MOST_RECENT: usize = 512;
 /// A majority of new voters has to have been heard of within this, milliseconds.
 const THERE_MS: u64 = 10_000;
 /// The leader tells those it grants to of new entries this often at most, milliseconds.
@@ -54,6 +51,8 @@
     grants: Grants,
     /// Places in the log of commands that would bring other voters.
     sealed: BTreeSet<u64>,
+    /// Keys in the log that are not decided, by place.
+    open: BTreeMap<u64, Key>,
     entries: u64,
 }
 
@@ -77,7 +76,9 @@
         for op in ops {
             if let Op::Log { from, commands } = op {
                 self.sealed.split_off(from);
+                self.open.split_off(from);
                 for (index, command) in (*from..).zip(commands) {
+                    self.open.insert(index, command.key);
                     if self.seals(command) {
                         self.sealed.insert(index);
                     }
@@ -103,7 +104,6 @@
                 self.fold(now_ms, out);
                 self.push(now_ms, out);
             }
-            self.recent.retain(|_, at| now_ms.saturating_sub(*at) < RECENT_MS);
         }
         if let Some(seat) = &mut self.seat {
             seat.grants.raise(now_ms, self.durable);
@@ -204,7 +204,7 @@
             self.stop(Note::Broken);
             return;
         };
-        let mut seat = Seat { voter, config, grants, sealed: BTreeSet::new(), entries: 0 };
+        let mut seat = Seat { voter, config, grants, sealed: BTreeSet::new(), open: BTreeMap::new(), entries: 0 };
         seat.logs(&[Op::Log { from: 0, commands }]);
         self.notes.push(Note::Votes(seat.config.number));
         self.seat = Some(Box::new(seat));
@@ -283,6 +283,7 @@
                         continue;
                     };
                     seat.sealed.remove(&index);
+                    seat.open.remove(&index);
                     let number = first.saturating_add(index);
                     if number == self.registers.number().saturating_add(1) {
                         self.durable = number;
@@ -329,7 +330,7 @@
         command: Command,
         out: &mut Vec<Out>,
     ) -> Result<(), Option<u64>> {
-        if self.registers.outcome(command.key).is_some() || self.recent.contains_key(&command.key) {
+        if self.registers.outcome(command.key).is_some() {
             return Ok(());
         }
         if let What::Voters { voters, .. } = &command.what
@@ -342,12 +343,14 @@
         if leader != Some(self.s.me) {
             return Err(leader);
         }
+        // In the log already: sent again while it waits for a majority.
+        if seat.open.values().any(|key| *key == command.key) {
+            return Ok(());
+        }
         // What follows the end of a configuration counts for nothing.
-        let key = command.key;
-        if !seat.sealed.is_empty() || self.recent.len() >= MOST_RECENT || !seat.voter.append(command) {
+        if !seat.sealed.is_empty() || !seat.voter.append(command) {
             return Err(None);
         }
-        self.recent.insert(key, now_ms);
         self.pump(now_ms, out);
         Ok(())
     }
--- a/crates/agreement/tests/fleet.rs
+++ b/crates/agreement/tests/fleet.rs
@@ -110,6 +110,9 @@
         world.checker.len(),
         world.report()
     );
+    if std::env::var("AGREEMENT_TELL").is_ok() {
+        println!("seed {seed}, healed in {took:?} ms\n{}", world.report());
+    }
     // Each proposal of a run that lived on has come, and counts once.
     let keys = world.checker.keys();
     for (me, front) in &world.fronts {
