--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -10,6 +10,8 @@
 //! - **Loss.** omnipaxos sends again what prepares a round, not what is lost within it. Each message says how far its sender
 //!   is; a follower that is behind, or sees its leader's entries undecided, with nothing moving for [`RESEND_TICKS`],
 //!   asks to be synchronized anew.
+//! - **Left out.** A voter that promised a higher ballot of someone who is gone (itself before a restart, say) takes nothing
+//!   from a leader that others follow, and the leader has no cause of its own to rise. After [`PASSED_OVER`] ticks it does.
 //! - A configuration of one voter, which omnipaxos does not take, is its log alone: written is decided.
 
 use crate::journal::{Journal, Shared, size};
@@ -29,6 +31,8 @@
 pub const ELECTION_TICKS: u64 = 5;
 /// Ticks after which what was not answered is sent again, and a follower that is behind asks anew. 500 ms.
 pub const RESEND_TICKS: u64 = 10;
+/// Ticks that a voter may be out of reach of its leader's ballot before the leader takes a higher one. 2 s.
+pub const PASSED_OVER: u64 = 40;
 /// Ticks that the disk may take for a write before the voter falls silent until it answers. 2 s.
 pub const DISK_PATIENCE: u64 = 40;
 /// Bytes of log from which on no [`What::Put`] is taken: the log is to be folded by then. A follower that has none of it
@@ -159,6 +163,8 @@
     round: u32,
     decided: u64,
     accepted: u64,
+    /// The ballot that it holds to although nobody leads it, and the tick since when.
+    holds_to: Option<(Ballot, u64)>,
 }
 
 /// What waits for the disk.
@@ -278,6 +284,7 @@
         }
         self.guarded(OmniPaxos::tick);
         self.ask_if_behind();
+        self.rise_if_passed_over();
     }
 
     /// Takes a message that `from` has said. Bounded in memory and time, and never a panic, whatever the bytes.
@@ -538,6 +545,19 @@
         }
     }
 
+    /// Rises above the ballot of a voter that this leader does not reach by its own.
+    fn rise_if_passed_over(&mut self) {
+        let Some(engine) = self.engine.as_ref() else { return };
+        if engine.get_current_leader() != Some((self.me, true)) {
+            return;
+        }
+        let (promise, now) = (engine.get_promise(), self.ticks);
+        let waits = |p: &Peer| p.holds_to.is_some_and(|(b, since)| b > promise && now - since >= PASSED_OVER);
+        if self.peers.iter().any(waits) {
+            self.guarded(OmniPaxos::try_become_leader);
+        }
+    }
+
     fn may_open(&self, more: usize) -> bool {
         let journal = self.journal.lock();
         self.engine.is_none() || (journal.len() - journal.decided()).saturating_add(more) <= MOST_OPEN
--- a/crates/agreement/src/voter/sound.rs
+++ b/crates/agreement/src/voter/sound.rs
@@ -58,6 +58,9 @@
                             return Err(Refused::Old);
                         }
                         peer.round = reply.round;
+                        let since =
+                            peer.holds_to.filter(|(b, _)| *b == reply.leader).map_or(self.ticks, |(_, t)| t);
+                        peer.holds_to = (!reply.happy).then_some((reply.leader, since));
                         Ok(())
                     }
                 };
--- a/crates/agreement/tests/voter.rs
+++ b/crates/agreement/tests/voter.rs
@@ -28,7 +28,7 @@
     let calm = world.calm(WITHIN);
     let mut wrong = std::mem::take(&mut world.checker.wrong);
     if calm.is_none() {
-        wrong.push(format!("nothing decided by all within {WITHIN} ticks of calm"));
+        wrong.push(format!("nothing decided by all within {WITHIN} ticks of calm\n{}", world.report()));
     }
     (wrong, calm.unwrap_or(WITHIN), world.checker.decided.len() as u64)
 }
--- a/crates/agreement/tests/voters/mod.rs
+++ b/crates/agreement/tests/voters/mod.rs
@@ -354,6 +354,21 @@
         }
     }
 
+    /// Who stands where, for a run that stuck.
+    pub fn report(&self) -> String {
+        let one = |n: &Node| {
+            let voter = n.voter.as_ref()?;
+            Some(format!(
+                "{}: leads {:?}, reach {:?}, decided {:?}\n",
+                n.me.front,
+                voter.leader(),
+                voter.reach(),
+                self.checker.next.get(&n.me.front)
+            ))
+        };
+        self.nodes.iter().filter_map(one).collect()
+    }
+
     /// Ends all trouble and waits until what is proposed then is decided by everyone. Ticks that it took.
     pub fn calm(&mut self, within: u64) -> Option<u64> {
         self.weather = Weather { lying: self.weather.lying, ..FAIR };
