Settings: the fleet's part read alone, written back and laid over a front's own

A policy that the fleet agrees on needs the part of the settings that is not one front's: classes, tenants, ladder, rules, prices, links, advice, peaks. Fleet reads it with the settings' own reader, includes no files, names what is a front's own with its line, writes it so that it reads the same, and lays it over a Config: titles and tokens keep class and tenant by name. A class may be closed. The ration's figures are numbers of 0 or more (NaN was taken).

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,17 +4,17 @@
 //! a comment, `include FILE` reads another file in place. Every fault is told with file, line, column and
 //! what was expected, all of them at once. The keywords are listed in `docs/operators.md`.
 
+mod fleet;
 mod lines;
 mod read;
 
 use codespan_reporting::diagnostic::{Diagnostic, Label};
 use codespan_reporting::files::SimpleFiles;
 use codespan_reporting::term;
+pub use fleet::{Fleet, FleetClass, duration};
 use lines::{Block, Loader};
 pub use lines::{Fault, Place, Source};
-use pepperhook::{
-    Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, Time, TitleId, ZoneId,
-};
+use pepperhook::{Class, Gauge, Group, Repeat, RetryBudget, Rules, Settings, Time, TitleId, ZoneId};
 use pepperhook_inventory::Names;
 use read::{Fields, time};
 use std::collections::BTreeMap;
@@ -61,6 +61,8 @@
     pub patience: Time,
     /// Sessions of publishers.
     pub ingest: bool,
+    /// It takes nothing new; what plays goes on.
+    pub closed: bool,
 }
 
 /// Where a title lies.
@@ -337,14 +339,11 @@
         live: f.yes("live").unwrap_or(false),
     };
     let ingest = f.yes("ingest").unwrap_or(false);
+    let closed = f.yes("closed").unwrap_or(false);
     faults.extend(f.end());
-    (ClassSettings { name, patience, ingest }, class)
+    (ClassSettings { name, patience, ingest, closed }, class)
 }
 
-/// What is wrong where no section has the figures behind the rules; there are no defaults for those.
-const MISSING_RULES: &str = "these settings have no section rules, such as: section rules / cold-share 0.4 / cold 12s / \
-    fall-multiple 2.5 / fall-window 2s";
-
 fn rules(block: &Block, faults: &mut Vec<Fault>) -> Rules {
     let mut f = Fields::new(block);
     let (share, cold) = (f.number("cold-share"), f.time("cold"));
@@ -352,8 +351,9 @@
     let mut budget = None;
     for line in f.lines("budget", 3, 3) {
         let v = &line.values;
-        match (v[0].text.parse(), v[1].text.parse(), time(&v[2].text)) {
-            (Ok(free), Ok(share), Some(window)) => budget = Some(RetryBudget { free, share, window }),
+        let number = |text: &str| text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        match (number(&v[0].text), number(&v[1].text), time(&v[2].text)) {
+            (Some(free), Some(share), Some(window)) => budget = Some(RetryBudget { free, share, window }),
             _ => f.fault(v[0].place, "expected: budget FREE SHARE WINDOW, such as: budget 3 0.2 10s"),
         }
     }
@@ -462,7 +462,7 @@
 }
 
 fn build(loader: Loader) -> Result<Config, Faults> {
-    let Loader { source, blocks, mut faults } = loader;
+    let Loader { source, blocks, mut faults, .. } = loader;
     const KINDS: [&str; 12] = [
         "", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices", "exchange", "duties",
         "replica",
@@ -472,26 +472,8 @@
         faults.push(Fault { place: block.place, what });
     }
 
-    let mut ladder = Vec::new();
-    for block in blocks.iter().filter(|b| b.kind == "ladder") {
-        let mut f = Fields::new(block);
-        for line in f.lines("rung", 2, 2) {
-            match (line.values[0].text.parse(), line.values[1].text.parse()) {
-                (Ok(kb), Ok(worth)) => ladder.push(Rung { kb, worth }),
-                _ => f.fault(line.values[0].place, "expected: rung KB-A-SECOND WORTH, two numbers"),
-            }
-        }
-        faults.extend(f.end());
-    }
-    let highest = u8::try_from(ladder.len().saturating_sub(1)).unwrap_or(u8::MAX);
-
-    let (mut classes, mut library) = (Vec::new(), Vec::new());
-    for (_, block) in named(&blocks, "class", &mut faults) {
-        let (ours, mut theirs) = class(block, &mut faults);
-        theirs.top = theirs.top.min(highest);
-        classes.push(ours);
-        library.push(theirs);
-    }
+    let mut f = Fields::new(&blocks[0]);
+    let fleet = Fleet::read(&blocks, &mut f, &mut faults);
     let (mut kinds, mut kind_streams) = (Vec::new(), Vec::new());
     for (name, block) in named(&blocks, "kind", &mut faults) {
         let mut f = Fields::new(block);
@@ -500,13 +482,9 @@
         kinds.push(name);
         faults.extend(f.end());
     }
-    let (mut tenants, mut shares) = (Vec::new(), Vec::new());
-    for (name, block) in named(&blocks, "tenant", &mut faults) {
-        let mut f = Fields::new(block);
-        shares.push(Tenant { quota_per_s: f.number("quota").unwrap_or(0.0) });
-        tenants.push(name);
-        faults.extend(f.end());
-    }
+    let (classes, library): (Vec<ClassSettings>, Vec<Class>) =
+        fleet.classes.into_iter().map(|c| (c.ours, c.class)).unzip();
+    let (tenants, shares): (Vec<String>, Vec<_>) = fleet.tenants.into_iter().unzip();
     let mut titles = BTreeMap::new();
     for (name, block) in named(&blocks, "title", &mut faults) {
         let mut f = Fields::new(block);
@@ -528,23 +506,6 @@
         faults.extend(f.end());
         tokens.push(Token { name, secret, tenant: tenant.unwrap_or(0) as u16, publish, top });
     }
-    let rules = match blocks.iter().find(|b| b.kind == "rules") {
-        Some(block) => rules(block, &mut faults),
-        None => {
-            faults.push(Fault { place: blocks[0].place, what: MISSING_RULES.into() });
-            Rules { cold_share: 1.0, cold: 1, fall_multiple: 1.0, fall_window: 1, budget: None }
-        }
-    };
-    let (mut prices, mut over_share_worth) = (Prices::default(), 1.0);
-    for block in blocks.iter().filter(|b| b.kind == "prices") {
-        let mut f = Fields::new(block);
-        prices.moved = f.number("moved").unwrap_or(0.0);
-        prices.cross_zone = f.number("cross-zone").unwrap_or(0.0);
-        prices.probe = f.number("probe").unwrap_or(0.0);
-        over_share_worth = f.number("over-share-worth").unwrap_or(1.0);
-        faults.extend(f.end());
-    }
-
     let exchange = blocks.iter().find(|b| b.kind == "exchange").map(|b| exchange(b, &mut faults));
     let duty_block = blocks.iter().find(|b| b.kind == "duties");
     let duties = duty_block.map(|b| duties(b, &mut faults));
@@ -559,7 +520,6 @@
         faults.push(Fault { place: block.place, what });
     }
 
-    let mut f = Fields::new(&blocks[0]);
     let zones: Vec<String> =
         f.lines("zones", 1, 64).iter().flat_map(|l| l.values.iter().map(|w| w.text.clone())).collect();
     let zone = f.with("zone", "zone of these settings", |t| zones.iter().position(|z| z == t));
@@ -577,12 +537,10 @@
     let address = "address such as 127.0.0.1:8080";
     let listen = f.parsed("listen", address);
     let inventory = f.word("inventory").map(|w| PathBuf::from(&w.text));
-    let (racks, cells, uplink) =
-        (f.parsed("racks", "whole number"), f.parsed("cells", "whole number"), f.number("uplink-kb"));
+    let (racks, cells) = (f.parsed("racks", "whole number"), f.parsed("cells", "whole number"));
     let (racks, cells) = (f.need("racks", racks), f.need("cells", cells));
     let names = Names { zones, kinds, cells };
     let name = f.word("name").map(|w| w.text.clone());
-    let advice = f.yes("advice").unwrap_or(true);
     let config = Config {
         name: f.need("name", name),
         listen: f.need("listen", listen.map(Some)).unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
@@ -608,11 +566,7 @@
             body_time: f.time("body-time").unwrap_or(5 * SECOND),
         },
         exchange,
-        holds: HoldSettings {
-            share: f.number("hold-share").unwrap_or(0.5).min(1.0),
-            late: f.time("hold-late").unwrap_or(60 * SECOND),
-            most: f.parsed("max-peaks", "whole number").unwrap_or(64),
-        },
+        holds: fleet.holds,
         connect_time: f.time("connect-time").unwrap_or(250 * MS),
         close_grace: f.time("close-grace").unwrap_or(40 * MS),
         answer_margin: f.time("answer-margin").unwrap_or(250 * MS),
@@ -628,29 +582,29 @@
             zone: ZoneId(zone as u16),
             classes: library,
             tenants: shares,
-            over_share_worth,
-            ladder,
+            over_share_worth: fleet.over_share_worth,
+            ladder: fleet.ladder,
             kind_streams,
             racks,
             cells,
-            uplink_kb: f.need("uplink-kb", uplink),
-            kb_per_weight: f.number("kb-per-weight").unwrap_or(0.0),
-            all_links_kb: f.number("all-links-kb").unwrap_or(0.0),
-            join: f.number("join").unwrap_or(1.0),
-            refuses_from: f.number("refuses-from").unwrap_or(0.0),
-            seen_after: f.time("seen-after").unwrap_or(0),
-            switch_cost_s: f.number("switch-cost").unwrap_or(0.0),
+            uplink_kb: fleet.uplink_kb,
+            kb_per_weight: fleet.kb_per_weight,
+            all_links_kb: fleet.all_links_kb,
+            join: fleet.join,
+            refuses_from: fleet.refuses_from,
+            seen_after: fleet.seen_after,
+            switch_cost_s: fleet.switch_cost_s,
             gauges,
             // Else what it knows comes with answers, event streams and the duties' readings.
             probes: duties.as_ref().is_some_and(|d| d.ask),
-            advice,
-            max_advice: f.time("max-advice").unwrap_or(SECOND),
-            max_attempts: f.parsed("max-attempts", "whole number").unwrap_or(3),
+            advice: fleet.advice,
+            max_advice: fleet.max_advice,
+            max_attempts: fleet.max_attempts,
             idle: 0,
             list_on_request: false,
             step: f.time("step").unwrap_or(MS),
-            prices,
-            rules,
+            prices: fleet.prices,
+            rules: fleet.rules,
         },
         duties,
         replica,
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -98,6 +98,8 @@
     pub source: Source,
     pub blocks: Vec<Block>,
     pub faults: Vec<Fault>,
+    /// The text stands alone: it may name no file.
+    alone: bool,
 }
 
 impl Loader {
@@ -115,10 +117,17 @@
         loader
     }
 
+    /// Reads from text that came from elsewhere: an `include` in it is a fault and reads nothing.
+    pub fn alone(name: &str, text: &str) -> Self {
+        let mut loader = Self { alone: true, ..Self::empty() };
+        loader.take(PathBuf::from(name), text.to_owned());
+        loader
+    }
+
     fn empty() -> Self {
         let place = Place { file: 0, line: 1, column: 1 };
         let first = Block { kind: String::new(), name: None, place, lines: Vec::new() };
-        Self { source: Source::default(), blocks: vec![first], faults: Vec::new() }
+        Self { source: Source::default(), blocks: vec![first], faults: Vec::new(), alone: false }
     }
 
     fn include(&mut self, path: &Path, from: Option<Place>) {
@@ -163,6 +172,10 @@
             let Some(keyword) = words.next() else { continue };
             let values: Vec<Word> = words.collect();
             match (keyword.text.as_str(), values.as_slice()) {
+                ("include", _) if self.alone => {
+                    let what = "this text stands alone: 'include' has no place in it".into();
+                    self.faults.push(Fault { place: keyword.place, what });
+                }
                 ("include", [file]) => self.include(&beside.join(&file.text), Some(file.place)),
                 ("section", [kind]) => self.open(&keyword, kind, None),
                 ("section", [kind, name]) => self.open(&keyword, kind, Some(name.clone())),
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -11,11 +11,12 @@
     pub faults: Vec<Fault>,
 }
 
-/// A time with its unit: `250ms`, `4s`, `2m`; nanoseconds.
+/// A time with its unit: `250ms`, `4s`, `2m`, and `1ns` for what a program writes; nanoseconds.
 pub fn time(text: &str) -> Option<Time> {
     let cut = text.find(|c: char| c.is_ascii_alphabetic())?;
     let (number, unit) = text.split_at(cut);
     let scale = match unit {
+        "ns" => 1.0,
         "us" => 1e3,
         "ms" => 1e6,
         "s" => 1e9,
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -78,3 +78,34 @@
     let said = Config::parse("front.conf", text).expect_err("no rules").to_string();
     assert!(said.contains("have no section rules") && said.contains("fall-window 2s"), "{said}");
 }
+
+#[test]
+fn the_fleets_part_is_written_as_it_is_read_and_laid_over_another_front() {
+    let c = Config::parse("f", GOOD).expect("settings");
+    let text = c.fleet().text();
+    let fleet = Fleet::parse("policy", &text).expect("the fleet's part");
+    assert_eq!(fleet.text(), text);
+    // Another front lists its classes in another order; its titles keep theirs by name.
+    let other = GOOD
+        .replace("section class replay", "section class other\naim 1s\npatience 2s\nsection class replay");
+    let other = Config::parse("f", &other).expect("settings");
+    assert_eq!(other.titles["t1"].class, 1);
+    assert_eq!(other.with_fleet(&fleet).expect("it fits").titles["t1"].class, 0);
+    let gone = Fleet::parse("policy", &text.replace("class replay", "class replays")).expect("a policy");
+    let why = other.with_fleet(&gone).expect_err("a title without a class");
+    assert_eq!(why, "title t1 is of class replay, which the policy does not have");
+}
+
+#[test]
+fn the_fleets_part_has_nothing_of_a_front_and_reads_no_file() {
+    let text = Config::parse("f", GOOD).expect("settings").fleet().text();
+    let bad = format!("racks 4\ninclude /dev/zero\nuplnk 3\n{text}section token x\nsecret y\n");
+    let said = Fleet::parse("policy", &bad).expect_err("faults").to_string();
+    for part in
+        ["policy:1:1", "'racks' is no part", "policy:2:1", "stands alone", "'uplnk'", "section 'token'"]
+    {
+        assert!(said.contains(part), "{part} in {said}");
+    }
+    let e = Fleet::parse("policy", &text.replace("cold-share 0.4", "cold-share 0.4\nbudget NaN 1 1s"));
+    assert!(e.expect_err("no number").to_string().contains("budget FREE SHARE WINDOW"));
+}
