Policy: documents, the tighter of two, steps of a change and the governor

The fleet's policy as a document in the settings' form, the tighter of two of them, the register's bodies and one front's part in a change.

--- /dev/null
+++ b/crates/policy/src/governor.rs
@@ -0,0 +1,564 @@
+//! One front's part in the changes of the policy.
+//!
+//! Two rules hold a change together. A front vouches for an entry only once it goes by it, and a step is driven only once
+//! the entry of the step before is settled: then every front that holds goes by that step, and who does not hold is fenced.
+//! Who drives does not matter: commands apply only to the entry that they follow, and their keys follow from it.
+
+use crate::answer::{Answer, Ask, Effect, MOST_NAME, Outcome, Pace, Unfit};
+use crate::change::{Change, MOST_WHY, Made, SUBJECT, Steps, Undone, cut, derived};
+use crate::policy::{Difference, Policy};
+use crate::tighter::tighter;
+use pepperhook_agreement::{Command, Entry, Key, What};
+use pepperhook_settings::Config;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes that wait at a front at most.
+const MOST_WAITING: usize = 16;
+/// Answers that are remembered for those who ask again.
+const MOST_ANSWERS: usize = 64;
+/// A first step's time, ms, whatever the register says.
+const FIRST_MS: (u64, u64) = (1_000, 600_000);
+
+/// What a front's own means say of a policy.
+pub trait Fits {
+    /// Whether this front can go by it.
+    ///
+    /// # Errors
+    /// Why not.
+    fn fits(&self, policy: &Policy) -> Result<(), String>;
+}
+
+impl Fits for Config {
+    fn fits(&self, policy: &Policy) -> Result<(), String> {
+        policy.over(self).map(drop)
+    }
+}
+
+/// What the caller knows of the front.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Around {
+    /// The fleet agrees: the register that it knows is the register, also if it is empty.
+    pub agreed: bool,
+    /// The front leads the voters: it drives without delay.
+    pub leads: bool,
+}
+
+/// What the register says, read.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct At {
+    number: u64,
+    change: Change,
+    old: Policy,
+    new: Policy,
+    since_ms: u64,
+    settled_ms: Option<u64>,
+}
+
+/// Steps that follow one another; part of the keys.
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    Seed = 1,
+    Second = 2,
+    Through = 3,
+    Back = 4,
+    Gone = 5,
+    First = 6,
+}
+
+/// A change that was asked for here and is not through.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Waiting {
+    made: Made,
+    against: u64,
+    since_ms: u64,
+    accepted: bool,
+    /// The key of its command.
+    command: u128,
+}
+
+/// One front's part.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Governor {
+    me: u64,
+    pace: Pace,
+    seed: Option<Policy>,
+    around: Around,
+    /// Since when the fleet agrees.
+    agreed_ms: Option<u64>,
+    /// The entry that wrote the register, 0 for none.
+    register: u64,
+    at: Option<At>,
+    unread: bool,
+    force: Option<(u64, &'static str, Policy)>,
+    stuck: Option<String>,
+    checked_ms: u64,
+    seen: u64,
+    vouched: u64,
+    settled: u64,
+    /// The entry behind which something was proposed, and when.
+    proposed: Option<(u64, u64)>,
+    waiting: BTreeMap<u128, Waiting>,
+    answers: VecDeque<(u128, Answer)>,
+}
+
+impl Governor {
+    /// A front that knows of nothing yet. `seed` is the policy of its file, if it may begin with it where none stands.
+    #[must_use]
+    pub fn new(me: u64, pace: Pace, seed: Option<Policy>) -> Self {
+        Self {
+            me,
+            pace,
+            seed,
+            around: Around::default(),
+            agreed_ms: None,
+            register: 0,
+            at: None,
+            unread: false,
+            force: None,
+            stuck: None,
+            checked_ms: 0,
+            seen: 0,
+            vouched: 0,
+            settled: 0,
+            proposed: None,
+            waiting: BTreeMap::new(),
+            answers: VecDeque::new(),
+        }
+    }
+
+    /// The next entry of the log, and what its command came to.
+    pub fn applied(
+        &mut self,
+        now_ms: u64,
+        entry: &Entry,
+        outcome: Outcome,
+        fits: &dyn Fits,
+        out: &mut Vec<Effect>,
+    ) {
+        if entry.number <= self.seen {
+            return;
+        }
+        self.seen = entry.number;
+        if let What::Put { subject: SUBJECT, expects, body } = &entry.command.what {
+            // A command that comes a second time has its first outcome again and changes nothing.
+            if outcome == Outcome::Taken && *expects == self.register {
+                self.adopt(now_ms, entry.number, body, fits, out);
+            } else {
+                self.lost(entry.command.key.0, out);
+            }
+        }
+        self.vouch(out);
+    }
+
+    /// The state was replaced by a snapshot up to this entry; `register` is what the policy's register says and the entry
+    /// that wrote it.
+    pub fn replaced(
+        &mut self,
+        now_ms: u64,
+        number: u64,
+        register: Option<(u64, &[u8])>,
+        fits: &dyn Fits,
+        out: &mut Vec<Effect>,
+    ) {
+        self.seen = self.seen.max(number);
+        match register {
+            Some((at, body)) if at != self.register || self.unread => self.adopt(now_ms, at, body, fits, out),
+            Some(_) => {}
+            None => (self.at, self.register, self.unread, self.stuck) = (None, 0, false, None),
+        }
+        self.tell(out);
+        self.vouch(out);
+    }
+
+    /// Every front that holds vouches for this entry or a later one.
+    pub fn settled(&mut self, now_ms: u64, number: u64, out: &mut Vec<Effect>) {
+        self.settled = self.settled.max(number);
+        let settled = self.settled;
+        if let Some(at) = self.at.as_mut().filter(|at| at.settled_ms.is_none() && at.number <= settled) {
+            at.settled_ms = Some(now_ms);
+        }
+        self.drive(now_ms, out);
+    }
+
+    /// Time has passed. Every 200 ms or so.
+    pub fn tick(&mut self, now_ms: u64, around: Around, fits: &dyn Fits, out: &mut Vec<Effect>) {
+        self.around = around;
+        if around.agreed && self.agreed_ms.is_none() {
+            self.agreed_ms = Some(now_ms);
+        }
+        if self.stuck.is_some() && now_ms.saturating_sub(self.checked_ms) >= self.pace.again_ms {
+            self.go(now_ms, fits, out);
+            self.vouch(out);
+        }
+        self.drive(now_ms, out);
+        let most = self.pace.ask_ms;
+        let over = |w: &Waiting| !w.accepted && now_ms.saturating_sub(w.since_ms) >= most;
+        let late: Vec<u128> = self.waiting.iter().filter(|(_, w)| over(w)).map(|(k, _)| *k).collect();
+        for key in late {
+            // Not remembered: who asks again has it proposed again.
+            self.waiting.remove(&key);
+            out.push(Effect::Told { key, answer: Answer::Unknown });
+        }
+    }
+
+    /// An operator asks for a change. What comes of it is told under its key, at once or later.
+    pub fn ask(&mut self, now_ms: u64, ask: Ask, fits: &dyn Fits, out: &mut Vec<Effect>) {
+        let key = ask.key;
+        if let Some((_, answer)) = self.answers.iter().find(|(k, _)| *k == key && !ask.dry_run) {
+            out.push(Effect::Told { key, answer: answer.clone() });
+            return;
+        }
+        // Whoever asks again waits for the one answer.
+        if self.waiting.contains_key(&key) {
+            return;
+        }
+        if let Err(answer) = self.checked(now_ms, ask, fits, out) {
+            out.push(Effect::Told { key, answer });
+        }
+    }
+
+    fn checked(
+        &mut self,
+        now_ms: u64,
+        ask: Ask,
+        fits: &dyn Fits,
+        out: &mut Vec<Effect>,
+    ) -> Result<(), Answer> {
+        let refused = |why: &dyn std::fmt::Display| Answer::Refused(why.to_string());
+        if ask.name.is_empty() || ask.name.len() > MOST_NAME || ask.name.chars().any(char::is_control) {
+            return Err(refused(&format!("a name has 1 to {MOST_NAME} bytes and no control characters")));
+        }
+        let at = self.at.as_ref().filter(|_| !self.unread).ok_or(Answer::NotAgreed)?;
+        // Asked before, at this front or another, and known from the register.
+        if !ask.dry_run {
+            if let Some(answer) = known(at, ask.key) {
+                if let Answer::Accepted { .. } = answer {
+                    let made = at.change.made().clone();
+                    let (against, since_ms) = (ask.against, now_ms);
+                    let waiting = Waiting { made, against, since_ms, accepted: true, command: 0 };
+                    self.waiting.insert(ask.key, waiting);
+                }
+                return Err(answer);
+            }
+        }
+        let made = Made { key: ask.key, front: self.me, name: ask.name };
+        let Change::Stands { version, last, made: old_made, .. } = &at.change else {
+            let (version, step) = (at.change.version(), at.change.step());
+            return Err(Answer::UnderWay { version, step, made: at.change.made().clone() });
+        };
+        if ask.against != *version {
+            let (stands, by) = (*version, old_made.clone());
+            return Err(Answer::Conflict { asked: made, against: ask.against, stands, made: by });
+        }
+        let new = Policy::parse("policy", &ask.text).map_err(|e| refused(&e))?;
+        let new = at.old.then(&new).map_err(|e| refused(&e))?;
+        if new == at.old {
+            return Err(Answer::Same { version: *version });
+        }
+        let both = tighter(&at.old, &new).map_err(|e| refused(&e))?;
+        for policy in [&both, &new] {
+            fits.fits(policy).map_err(|why| Answer::Unfit(Unfit { front: self.me, why }))?;
+        }
+        let number = last.saturating_add(1);
+        if ask.dry_run {
+            let (changes, first) = (at.old.differences(&new), at.old.differences(&both));
+            return Err(Answer::Dry { version: number, changes, first });
+        }
+        if self.waiting.len() >= MOST_WAITING {
+            return Err(Answer::Busy);
+        }
+        let steps = Steps {
+            version: number,
+            made: made.clone(),
+            old_version: *version,
+            old_made: old_made.clone(),
+            old: at.old.text().to_owned(),
+            new: new.text().to_owned(),
+            first_ms: self.pace.first_ms,
+        };
+        let expects = at.number;
+        let body = Change::First(steps).encode().ok_or_else(|| refused(&"the change is too long"))?;
+        // One key never stands for commands that expect different entries: the agreement answers a key that came before
+        // with its first outcome.
+        let command = derived(&[ask.key, u128::from(expects), Next::First as u128]);
+        let waiting = Waiting { made, against: ask.against, since_ms: now_ms, accepted: false, command };
+        self.waiting.insert(ask.key, waiting);
+        out.push(self.put(Key(command), expects, body));
+        Ok(())
+    }
+
+    /// The figures in which a file and the policy that stands differ.
+    #[must_use]
+    pub fn differs(&self, file: &Config) -> Vec<Difference> {
+        let stands = self.at.as_ref().map(|at| &at.old);
+        let file = Policy::from_config(file).ok();
+        file.zip(stands).map_or_else(Vec::new, |(file, stands)| file.differences(stands))
+    }
+
+    /// The policy that the front goes by: version, step, document.
+    #[must_use]
+    pub fn in_force(&self) -> Option<(u64, &'static str, &Policy)> {
+        self.force.as_ref().map(|(version, step, policy)| (*version, *step, policy))
+    }
+
+    /// Why the front cannot go by what was decided.
+    #[must_use]
+    pub fn stuck(&self) -> Option<&str> {
+        self.stuck.as_deref()
+    }
+
+    /// For display: what stands or is under way, and how this front goes by it.
+    #[must_use]
+    pub fn rows(&self, now_ms: u64) -> Vec<(&'static str, String)> {
+        let mut rows = Vec::new();
+        match &self.at {
+            None => rows.push(("policy", "none is agreed on".to_owned())),
+            Some(at) => {
+                let change = &at.change;
+                rows.push(("policy", format!("version {}, {}", change.version(), change.step())));
+                rows.push(("by", change.made().to_string()));
+                let for_s = now_ms.saturating_sub(at.since_ms) / 1_000;
+                let settled = if at.settled_ms.is_some() { "settled" } else { "not settled" };
+                rows.push(("entry", format!("{}, {settled}, for {for_s} s", at.number)));
+                if let Change::Stands { undone: Some(u), .. } = change {
+                    let what = format!("version {} by {}, by front {}: {}", u.version, u.made, u.by, u.why);
+                    rows.push(("undone", what));
+                }
+            }
+        }
+        if let Some((version, step, _)) = &self.force {
+            rows.push(("in force", format!("version {version}, {step}")));
+        }
+        if self.unread {
+            rows.push(("stuck", "a later edition wrote what this one cannot read".into()));
+        }
+        if let Some(why) = &self.stuck {
+            rows.push(("stuck", why.clone()));
+        }
+        rows.push(("vouches for", self.vouched.to_string()));
+        rows
+    }
+
+    fn put(&self, key: Key, expects: u64, body: Vec<u8>) -> Effect {
+        let what = What::Put { subject: SUBJECT, expects, body };
+        Effect::Propose(Command { key, author: self.me, what })
+    }
+
+    /// The register has a new body.
+    fn adopt(&mut self, now_ms: u64, number: u64, body: &[u8], fits: &dyn Fits, out: &mut Vec<Effect>) {
+        self.stuck = None;
+        self.unread = false;
+        self.proposed = None;
+        self.register = number;
+        if body.is_empty() {
+            // Cleared. The front goes by what it went by.
+            self.at = None;
+            return;
+        }
+        let read = Change::decode(body).and_then(|change| change.policies().map(|p| (change, p)));
+        let Ok((change, (old, new))) = read else {
+            // All fronts of this edition are fenced with it: better than going by something else than the others.
+            self.unread = true;
+            let why = "the register of the policy says what this edition cannot read".to_owned();
+            out.push(Effect::Stuck(why));
+            return;
+        };
+        let settled_ms = (self.settled >= number).then_some(now_ms);
+        self.at = Some(At { number, change, old, new, since_ms: now_ms, settled_ms });
+        self.go(now_ms, fits, out);
+        self.tell(out);
+    }
+
+    /// Goes by what the register says, or says why it cannot.
+    fn go(&mut self, now_ms: u64, fits: &dyn Fits, out: &mut Vec<Effect>) {
+        let Some(at) = &self.at else { return };
+        self.checked_ms = now_ms;
+        let both;
+        let target = match &at.change {
+            Change::Stands { .. } | Change::Back { .. } => Ok(&at.old),
+            Change::Second(_) => Ok(&at.new),
+            Change::First(_) => match tighter(&at.old, &at.new) {
+                Ok(policy) => {
+                    both = policy;
+                    // After the first step it goes only forward: who cannot go by the last says so now.
+                    fits.fits(&at.new).map(|()| &both)
+                }
+                Err(fixed) => Err(fixed.to_string()),
+            },
+        };
+        let fit = target.and_then(|policy| fits.fits(policy).map(|()| policy));
+        let (version, step) = match &at.change {
+            Change::Back { steps, .. } => (steps.old_version, at.change.step()),
+            change => (change.version(), change.step()),
+        };
+        match fit {
+            Ok(policy) => {
+                self.stuck = None;
+                let next = Some((version, step, policy.clone()));
+                if self.force != next {
+                    out.push(Effect::InForce { version, step, policy: policy.clone() });
+                    self.force = next;
+                }
+            }
+            Err(why) => {
+                let why = cut(&why, MOST_WHY);
+                if self.stuck.as_ref() != Some(&why) {
+                    out.push(Effect::Stuck(why.clone()));
+                }
+                self.stuck = Some(why);
+            }
+        }
+    }
+
+    fn vouch(&mut self, out: &mut Vec<Effect>) {
+        if self.stuck.is_none() && !self.unread && self.seen > self.vouched {
+            self.vouched = self.seen;
+            out.push(Effect::Vouch(self.seen));
+        }
+    }
+
+    /// Proposes what comes next, where it is due here.
+    fn drive(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
+        let number = self.register;
+        if self.unread || !self.around.agreed {
+            return;
+        }
+        if self
+            .proposed
+            .is_some_and(|(at, ms)| at == number && now_ms.saturating_sub(ms) < self.pace.again_ms)
+        {
+            return;
+        }
+        let Some((next, mine, body)) = self.next(now_ms) else { return };
+        let Some(body) = body.encode() else { return };
+        // An objection and a seed are this front's own; all else is the same whoever drives it.
+        let own = if mine { u128::from(self.me) + 1 } else { 0 };
+        let of = self.at.as_ref().map_or(0, |at| at.change.made().key);
+        let key = derived(&[of, u128::from(number), next as u128, own]);
+        self.proposed = Some((number, now_ms));
+        out.push(self.put(Key(key), number, body));
+    }
+
+    /// Others than the author and the leader come later, each at a moment of its own: one of them is enough.
+    fn turn(&self, author: u64) -> u64 {
+        if author == self.me || self.around.leads {
+            return 0;
+        }
+        let lot = derived(&[u128::from(self.me), u128::from(self.register)]) >> 64;
+        let spread = u64::try_from(lot).unwrap_or(0) % self.pace.drive_ms.saturating_mul(3).max(1);
+        self.pace.drive_ms.saturating_add(spread)
+    }
+
+    fn next(&self, now_ms: u64) -> Option<(Next, bool, Change)> {
+        let Some(at) = &self.at else {
+            let policy = self.seed.as_ref()?.text().to_owned();
+            if now_ms < self.agreed_ms?.saturating_add(self.turn(u64::MAX)) {
+                return None;
+            }
+            let made = Made { key: 0, front: self.me, name: "settings".into() };
+            return Some((
+                Next::Seed,
+                true,
+                Change::Stands { version: 1, last: 1, policy, made, undone: None },
+            ));
+        };
+        let passed = |since: u64, time: u64| now_ms >= since.saturating_add(time);
+        let turn = self.turn(at.change.made().front);
+        let settled = at.settled_ms.is_some_and(|since| passed(since, turn));
+        match &at.change {
+            Change::Stands { .. } => None,
+            Change::First(steps) => {
+                let back = |why: String| Change::Back { steps: steps.clone(), by: self.me, why };
+                if let Some(why) = &self.stuck {
+                    return passed(at.since_ms, turn / 4).then(|| (Next::Back, true, back(why.clone())));
+                }
+                if at.settled_ms.is_some() {
+                    return settled.then(|| (Next::Second, false, Change::Second(steps.clone())));
+                }
+                let first_ms = u64::from(steps.first_ms).clamp(FIRST_MS.0, FIRST_MS.1);
+                let why = || format!("not every front went by the first step within {first_ms} ms");
+                passed(at.since_ms, first_ms.saturating_add(turn)).then(|| (Next::Back, true, back(why())))
+            }
+            Change::Second(s) => settled.then(|| {
+                let (version, policy, made) = (s.version, s.new.clone(), s.made.clone());
+                (Next::Through, false, Change::Stands { version, last: version, policy, made, undone: None })
+            }),
+            Change::Back { steps: s, by, why } => settled.then(|| {
+                let undone = Undone { version: s.version, made: s.made.clone(), by: *by, why: why.clone() };
+                let (version, policy, made) = (s.old_version, s.old.clone(), s.old_made.clone());
+                (
+                    Next::Gone,
+                    false,
+                    Change::Stands { version, last: s.version, policy, made, undone: Some(undone) },
+                )
+            }),
+        }
+    }
+
+    /// Tells who asked here how far their change is.
+    fn tell(&mut self, out: &mut Vec<Effect>) {
+        // An accepted change that the register knows nothing of went by in a snapshot.
+        let of = |key: u128, w: &Waiting| {
+            let answer = self.at.as_ref().and_then(|at| known(at, key));
+            answer.or_else(|| w.accepted.then_some(Answer::Unknown))
+        };
+        let told: Vec<(u128, Answer)> =
+            self.waiting.iter().filter_map(|(key, w)| of(*key, w).map(|answer| (*key, answer))).collect();
+        for (key, answer) in told {
+            if answer == Answer::Unknown {
+                self.waiting.remove(&key);
+                out.push(Effect::Told { key, answer });
+                continue;
+            }
+            if let Answer::Accepted { .. } = answer {
+                match self.waiting.get_mut(&key) {
+                    Some(waiting) if !waiting.accepted => waiting.accepted = true,
+                    _ => continue,
+                }
+                out.push(Effect::Told { key, answer });
+            } else {
+                self.done(key, answer, out);
+            }
+        }
+    }
+
+    /// A command of the policy's register changed nothing.
+    fn lost(&mut self, command: u128, out: &mut Vec<Effect>) {
+        let mine = self.waiting.iter().find(|(_, w)| !w.accepted && w.command == command);
+        let Some((key, waiting)) = mine else { return };
+        let key = *key;
+        let answer = match &self.at {
+            Some(at) if at.number > 0 => Answer::Conflict {
+                asked: waiting.made.clone(),
+                against: waiting.against,
+                stands: at.change.version(),
+                made: at.change.made().clone(),
+            },
+            _ => Answer::Unknown,
+        };
+        self.done(key, answer, out);
+    }
+
+    fn done(&mut self, key: u128, answer: Answer, out: &mut Vec<Effect>) {
+        self.waiting.remove(&key);
+        if self.answers.len() >= MOST_ANSWERS {
+            self.answers.pop_front();
+        }
+        self.answers.push_back((key, answer.clone()));
+        out.push(Effect::Told { key, answer });
+    }
+}
+
+/// What the register says of a change.
+fn known(at: &At, key: u128) -> Option<Answer> {
+    match &at.change {
+        Change::Stands { undone: Some(undone), .. } if undone.made.key == key => {
+            Some(Answer::Undone(undone.clone()))
+        }
+        Change::Stands { version, made, .. } if made.key == key => Some(Answer::Stands { version: *version }),
+        Change::Stands { .. } => None,
+        Change::First(s) | Change::Second(s) | Change::Back { steps: s, .. } => {
+            (s.made.key == key).then_some(Answer::Accepted { version: s.version, number: at.number })
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,17 @@
 //! The fleet's policy: a numbered document, and its change in steps that hold everywhere or nowhere. No I/O.
+//!
+//! `docs/policy.md` has the design, what is promised and what is not. A [`Policy`] is the fleet's part of the settings.
+//! [`tighter`] of two is one under which nothing that adds up over the fleet exceeds either. A [`Change`] goes from one to
+//! the other by way of it, on one register of the agreed log; a [`Governor`] is one front's part in that.
+
+mod answer;
+mod change;
+mod governor;
+mod policy;
+mod tighter;
+
+pub use answer::{Answer, Ask, Effect, MOST_NAME, Outcome, Pace, Unfit};
+pub use change::{Change, MOST_WHY, Made, SUBJECT, Steps, Undone, Unread};
+pub use governor::{Around, Fits, Governor};
+pub use policy::{Difference, Fixed, MOST_ASKED, MOST_TEXT, Policy, PolicyError};
+pub use tighter::{RULES, Rule, neighbours, tighter, within};
--- /dev/null
+++ b/crates/policy/src/tighter.rs
@@ -0,0 +1,220 @@
+//! The tighter of two policies: what everyone goes by in the middle of a change.
+//!
+//! While some fronts have taken a step and others have not, two documents are in force in the fleet. Nothing goes wrong as
+//! long as one of them lies within the other: what adds up over the fleet then adds up to no more than the wider allows.
+//! Two documents that an operator writes one after the other seldom lie so; the tighter of both lies within both.
+
+use crate::policy::{Fixed, Policy, fixed};
+use pepperhook::{Group, Repeat, RetryBudget, Time};
+use pepperhook_settings::{Fleet, FleetClass};
+
+/// How the tighter value of a figure is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// The lower.
+    Lower,
+    /// The lower; 0 stands for no bound.
+    LowerOr0,
+    /// The higher.
+    Higher,
+    /// A rule of its own, see `docs/policy.md`.
+    Own,
+    /// It may not differ.
+    Fixed,
+    /// That of the standing policy: the figure neither adds up over the fleet nor contradicts itself between fronts.
+    Old,
+}
+
+/// The rule of each figure, by section and keyword as settings have them.
+pub const RULES: [(&str, &str, Rule); 35] = [
+    ("", "uplink-kb", Rule::Lower),
+    ("", "kb-per-weight", Rule::LowerOr0),
+    ("", "all-links-kb", Rule::LowerOr0),
+    ("", "join", Rule::Higher),
+    ("", "refuses-from", Rule::Old),
+    ("", "seen-after", Rule::Old),
+    ("", "switch-cost", Rule::Old),
+    ("", "advice", Rule::Old),
+    ("", "max-advice", Rule::Lower),
+    ("", "max-attempts", Rule::Lower),
+    ("", "hold-share", Rule::Lower),
+    ("", "hold-late", Rule::Lower),
+    ("", "max-peaks", Rule::Lower),
+    ("ladder", "rung", Rule::Old),
+    ("class", "aim", Rule::Lower),
+    ("class", "patience", Rule::Lower),
+    ("class", "repeat", Rule::Own),
+    ("class", "value", Rule::Old),
+    ("class", "scale", Rule::Old),
+    ("class", "floor", Rule::Higher),
+    ("class", "top", Rule::Own),
+    ("class", "seats", Rule::LowerOr0),
+    ("class", "live", Rule::Fixed),
+    ("class", "ingest", Rule::Fixed),
+    ("class", "closed", Rule::Own),
+    ("tenant", "quota", Rule::Lower),
+    ("rules", "cold-share", Rule::Lower),
+    ("rules", "cold", Rule::Higher),
+    ("rules", "fall-multiple", Rule::Lower),
+    ("rules", "fall-window", Rule::Lower),
+    ("rules", "budget", Rule::Own),
+    ("prices", "moved", Rule::Old),
+    ("prices", "cross-zone", Rule::Old),
+    ("prices", "probe", Rule::Old),
+    ("prices", "over-share-worth", Rule::Old),
+];
+
+/// The lower of two bounds of which 0 is none.
+fn bound<T: PartialOrd + Default + Copy>(a: T, b: T) -> T {
+    let none = T::default();
+    if a == none || (b != none && b < a) { b } else { a }
+}
+
+fn within_bound<T: PartialOrd + Default + Copy>(a: T, b: T) -> bool {
+    b == T::default() || (a != T::default() && a <= b)
+}
+
+/// Zones and cells cut the nodes up in different ways: what may be repeated in both is not known to be the same node's.
+fn repeat(a: Repeat, b: Repeat) -> Repeat {
+    match (a, b) {
+        (Repeat::Harmless, other) | (other, Repeat::Harmless) => other,
+        (Repeat::Never, _) | (_, Repeat::Never) => Repeat::Never,
+        (Repeat::Within(g, s), Repeat::Within(h, t)) => match (g, h) {
+            (Group::All, group) | (group, Group::All) => Repeat::Within(group, s.min(t)),
+            _ if g == h => Repeat::Within(g, s.min(t)),
+            _ => Repeat::Never,
+        },
+    }
+}
+
+/// Over windows of different length the shares of sessions cannot be compared, the free attempts can: as many in the
+/// longer window are no more in the shorter.
+fn budget(a: Option<RetryBudget>, b: Option<RetryBudget>) -> Option<RetryBudget> {
+    match (a, b) {
+        (None, other) | (other, None) => other,
+        (Some(a), Some(b)) => Some(RetryBudget {
+            free: a.free.min(b.free),
+            share: if a.window == b.window { a.share.min(b.share) } else { 0.0 },
+            window: a.window.max(b.window),
+        }),
+    }
+}
+
+fn class(old: &FleetClass, new: &FleetClass) -> FleetClass {
+    let mut both = old.clone();
+    both.ours.patience = old.ours.patience.min(new.ours.patience);
+    both.class.aim = old.class.aim.min(new.class.aim);
+    both.class.repeat = repeat(old.class.repeat, new.class.repeat);
+    both.class.seats = bound(old.class.seats, new.class.seats);
+    both.class.floor = old.class.floor.max(new.class.floor);
+    both.class.top = old.class.top.min(new.class.top);
+    both.ours.closed = old.ours.closed || new.ours.closed;
+    if both.class.floor > both.class.top {
+        // No rung is allowed by both: the class takes nothing new until the second step.
+        both.class.top = both.class.floor;
+        both.ours.closed = true;
+    }
+    both
+}
+
+/// The policy under which nothing that adds up over the fleet exceeds either of two, and nothing contradicts either.
+///
+/// A class that only the old one has is closed, one that only the new one has is not there yet.
+///
+/// # Errors
+/// They differ in what may not change while fronts run, or the outcome has no text of its own.
+pub fn tighter(old: &Policy, new: &Policy) -> Result<Policy, Fixed> {
+    let (a, b) = (old.fleet(), new.fleet());
+    fixed(a, b)?;
+    let of_class = |was: &FleetClass| {
+        let mut closed = was.clone();
+        closed.ours.closed = true;
+        b.classes.iter().find(|c| c.ours.name == was.ours.name).map_or(closed, |is| class(was, is))
+    };
+    let mut tenants = a.tenants.clone();
+    for (name, tenant) in &mut tenants {
+        let other = b.tenants.iter().find(|(n, _)| n == name).map_or(0.0, |(_, t)| t.quota_per_s);
+        tenant.quota_per_s = tenant.quota_per_s.min(other);
+    }
+    let mut both = Fleet {
+        classes: a.classes.iter().map(of_class).collect(),
+        tenants,
+        uplink_kb: a.uplink_kb.min(b.uplink_kb),
+        kb_per_weight: bound(a.kb_per_weight, b.kb_per_weight),
+        all_links_kb: bound(a.all_links_kb, b.all_links_kb),
+        join: a.join.max(b.join),
+        max_advice: a.max_advice.min(b.max_advice),
+        max_attempts: a.max_attempts.min(b.max_attempts),
+        ..a.clone()
+    };
+    both.holds.share = a.holds.share.min(b.holds.share);
+    both.holds.late = a.holds.late.min(b.holds.late);
+    both.holds.most = a.holds.most.min(b.holds.most);
+    both.rules.cold_share = a.rules.cold_share.min(b.rules.cold_share);
+    both.rules.cold = a.rules.cold.max(b.rules.cold);
+    both.rules.fall_multiple = a.rules.fall_multiple.min(b.rules.fall_multiple);
+    both.rules.fall_window = a.rules.fall_window.min(b.rules.fall_window);
+    both.rules.budget = budget(a.rules.budget, b.rules.budget);
+    Policy::from_fleet(&both)
+        .map_err(|e| Fixed { field: "the policy of the first step".into(), why: e.to_string() })
+}
+
+fn within_repeat(a: Repeat, b: Repeat) -> bool {
+    match (a, b) {
+        (Repeat::Never, _) | (_, Repeat::Harmless) => true,
+        (Repeat::Within(g, s), Repeat::Within(h, t)) => (g == h || h == Group::All) && s <= t,
+        _ => false,
+    }
+}
+
+fn within_budget(a: Option<RetryBudget>, b: Option<RetryBudget>) -> bool {
+    let (Some(a), Some(b)) = (a, b) else { return b.is_none() };
+    let share = if a.window == b.window { a.share <= b.share } else { a.share == 0.0 };
+    a.free <= b.free && share && a.window >= b.window
+}
+
+fn within_class(a: &FleetClass, b: &FleetClass) -> bool {
+    let range = a.class.floor >= b.class.floor && a.class.top <= b.class.top;
+    a.class.aim <= b.class.aim
+        && a.ours.patience <= b.ours.patience
+        && within_repeat(a.class.repeat, b.class.repeat)
+        && within_bound(a.class.seats, b.class.seats)
+        && (a.ours.closed || (range && !b.ours.closed))
+}
+
+/// Whether one policy allows no more than another, in all that adds up over the fleet or could contradict.
+#[must_use]
+pub fn within(one: &Policy, other: &Policy) -> bool {
+    let (a, b) = (one.fleet(), other.fleet());
+    let lower = |x: f64, y: f64| x <= y;
+    let sooner = |x: Time, y: Time| x <= y;
+    fixed(a, b).is_ok()
+        && a.classes.iter().all(|c| {
+            let there = b.classes.iter().find(|o| o.ours.name == c.ours.name);
+            there.map_or(c.ours.closed, |there| within_class(c, there))
+        })
+        && a.tenants.iter().all(|(name, t)| {
+            let there = b.tenants.iter().find(|(n, _)| n == name).map_or(0.0, |(_, t)| t.quota_per_s);
+            t.quota_per_s <= there
+        })
+        && lower(a.uplink_kb, b.uplink_kb)
+        && within_bound(a.kb_per_weight, b.kb_per_weight)
+        && within_bound(a.all_links_kb, b.all_links_kb)
+        && lower(b.join, a.join)
+        && sooner(a.max_advice, b.max_advice)
+        && a.max_attempts <= b.max_attempts
+        && lower(a.holds.share, b.holds.share)
+        && sooner(a.holds.late, b.holds.late)
+        && a.holds.most <= b.holds.most
+        && lower(a.rules.cold_share, b.rules.cold_share)
+        && sooner(b.rules.cold, a.rules.cold)
+        && lower(a.rules.fall_multiple, b.rules.fall_multiple)
+        && sooner(a.rules.fall_window, b.rules.fall_window)
+        && within_budget(a.rules.budget, b.rules.budget)
+}
+
+/// Whether both may be in force in the fleet at one moment: one lies within the other.
+#[must_use]
+pub fn neighbours(one: &Policy, other: &Policy) -> bool {
+    within(one, other) || within(other, one)
+}
