--- a/crates/policy/tests/steps.rs
+++ b/crates/policy/tests/steps.rs
@@ -50,6 +50,7 @@
     asked: [bool; 2],
     losses: u8,
     restarts: u8,
+    lates: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -88,7 +89,7 @@
     refuses: Option<usize>,
     losses: u8,
     restarts: u8,
-    late: u64,
+    lates: u8,
     planted: Planted,
 }
 
@@ -101,12 +102,12 @@
 }
 
 impl Fleet {
-    fn new(asks: [bool; 2], losses: u8, restarts: u8, late: u64) -> Self {
+    fn new(asks: [bool; 2], losses: u8, restarts: u8, lates: u8) -> Self {
         let (old, one, other) = (policy(10, 10), policy(20, 5), policy(5, 20));
         let first = |new| tighter(&old, new).expect("a first step");
         let policies = vec![old.clone(), one.clone(), first(&one), other.clone(), first(&other)];
         let may = policies.iter().map(|p| policies.iter().map(|q| neighbours(p, q)).collect()).collect();
-        Self { policies, may, asks, refuses: None, losses, restarts, late, planted: Planted::Nothing }
+        Self { policies, may, asks, refuses: None, losses, restarts, lates, planted: Planted::Nothing }
     }
 
     fn means(&self, i: usize) -> Means<'_> {
@@ -210,6 +211,7 @@
             asked: [false; 2],
             losses: 0,
             restarts: 0,
+            lates: 0,
         };
         for i in 0..FRONTS {
             self.begin(&mut w, i);
@@ -233,7 +235,7 @@
                     acts.push(Act::Learn(i));
                 }
                 acts.push(Act::Hear(i));
-                if f.now < self.late * LONG {
+                if w.lates < self.lates {
                     acts.push(Act::Late(i));
                 }
             }
@@ -285,6 +287,7 @@
                 self.take(&mut w, i, out);
             }
             Act::Late(i) => {
+                w.lates += 1;
                 let f = &mut w.fronts[i];
                 f.now += LONG;
                 f.governor.tick(f.now, Around { agreed: true, leads: i == 2 }, &self.means(i), &mut out);
@@ -342,12 +345,13 @@
 fn probe() {
     for (name, fleet) in [
         ("one", Fleet::new([true, false], 1, 0, 1)),
-        ("one+restart", Fleet::new([true, false], 0, 1, 1)),
+        ("restart", Fleet::new([true, false], 0, 1, 1)),
         ("two", Fleet::new([true, true], 0, 0, 1)),
-        ("refuses", Fleet { refuses: Some(1), ..Fleet::new([true, false], 1, 0, 0) }),
+        ("two0", Fleet::new([true, true], 0, 0, 0)),
+        ("refuses", Fleet { refuses: Some(1), ..Fleet::new([true, false], 1, 0, 1) }),
     ] {
         let t = std::time::Instant::now();
-        let checker = fleet.checker().threads(threads()).target_state_count(400_000).spawn_bfs().join();
+        let checker = fleet.checker().threads(threads()).target_state_count(3_000_000).spawn_bfs().join();
         println!(
             "{name}: {} states, {} unique, depth {}, {:?}, {:?}",
             checker.state_count(),
