Decision module: goes on by another policy while it runs

A policy that the fleet agrees on has to come into force without a restart, and no account may be lost by it. Controller::change takes other settings: aim, patience and repeat of a set-up stay as they were taken, its bounds are the tighter of then and now; sessions below a new floor are raised at once, those above a new top go down one in five a look; ration, seats, cold nodes, bars, alerts and held room carry over.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,9 +102,8 @@
     /// When the settings do not agree with one another.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let steps = settings.classes.iter().map(|c| worthwhile(c, &settings.ladder)).collect();
         Ok(Self {
-            steps,
+            steps: all_steps(&settings),
             servers: BTreeMap::new(),
             racks: (0..settings.racks).map(|_| Rack::default()).collect(),
             sessions: BTreeMap::new(),
@@ -138,7 +137,7 @@
             Event::ListFailed if self.set.list_on_request => out.push(Action::WatchList),
             Event::Request(id, wish) => self.request(now, id, wish, out),
             Event::UnderWay(id, wish, server) => self.under_way(now, id, wish, server),
-            Event::Started(id, server) => self.started(now, id, server),
+            Event::Started(id, server) => self.started(now, id, server, out),
             Event::Ended { session, server, outcome, settled, report } => {
                 self.report(now, now, server, &report);
                 self.symptom(now, session, server, outcome, out);
@@ -163,6 +162,29 @@
         }
     }
 
+    /// Goes on by other settings: what was counted, seen and promised stands (`docs/policy-module.md` has the
+    /// rule for each account).
+    ///
+    /// # Errors
+    /// When they do not agree with one another or with what cannot change; then nothing has changed.
+    pub fn change(&mut self, now: Time, set: Settings, out: &mut Vec<Action>) -> Result<(), SettingsError> {
+        set.validate()?;
+        self.set.may_become(&set)?;
+        (self.steps, self.set) = (all_steps(&set), set);
+        let servers: Vec<ServerId> = self.servers.keys().copied().collect();
+        // Rates that are told otherwise are no change of demand: readings since then stand.
+        for id in &servers {
+            let own = self.servers.get(id).map_or(0.0, |s| self.asked_kb(s));
+            self.servers.entry(*id).and_modify(|s| s.own_kb = own);
+        }
+        let sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
+        for id in sessions {
+            self.fit(now, id, out);
+        }
+        servers.into_iter().for_each(|id| self.resum(now, id));
+        Ok(())
+    }
+
     /// What is held of servers and racks, for display; nothing is decided by it.
     #[must_use]
     pub fn view(&self, now: Time) -> (Vec<ServerView>, Vec<RackView>) {
@@ -220,15 +242,20 @@
         rate(&self.set, session.class, rung) * if joins { self.set.join } else { 1.0 }
     }
 
-    /// Brings the account of own rates on a server up to date.
-    fn resum(&mut self, now: Time, id: ServerId) {
-        let Some(server) = self.servers.get(&id) else { return };
+    /// Own rates on a server.
+    fn asked_kb(&self, server: &Server) -> f64 {
         let mut streams = BTreeSet::new();
         let mut own = 0.0;
         for s in server.sessions.iter().filter_map(|id| self.sessions.get(id)) {
             let alone = !self.set.classes[s.class].live || streams.insert((s.wish.title, s.class, s.rung));
             own += rate(&self.set, s.class, s.rung) * if alone { 1.0 } else { self.set.join };
         }
+        own
+    }
+
+    /// Brings the account of own rates on a server up to date.
+    fn resum(&mut self, now: Time, id: ServerId) {
+        let Some(own) = self.servers.get(&id).map(|s| self.asked_kb(s)) else { return };
         let Some(server) = self.servers.get_mut(&id) else { return };
         let change = own - server.own_kb;
         server.own_kb = own;
@@ -387,7 +414,7 @@
         match kind {
             NoteKind::Rung => {
                 if let Some(s) = self.sessions.get_mut(&id) {
-                    s.rung = (value as u8).min(s.top);
+                    s.rung = (value as u8).min(s.top.max(s.rung));
                     self.resum(now, server);
                 }
             }
@@ -519,8 +546,7 @@
             let steps = ids.iter().filter_map(|id| {
                 let s = self.sessions.get(id).filter(|s| s.phase == Phase::Playing && !s.moving)?;
                 let rung = lowered.get(id).copied().unwrap_or(s.rung);
-                let (slope, kb) =
-                    (rung > self.set.classes[s.class].floor).then(|| self.step(s, rung, 1.0))?;
+                let (slope, kb) = (rung > s.floor).then(|| self.step(s, rung, 1.0))?;
                 (slope < limit).then_some((slope, kb, *id, rung - 1))
             });
             let least = steps.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.total_cmp(&a.1)));
@@ -532,13 +558,21 @@
             kb -= freed;
         }
         for (id, rung) in lowered {
-            self.set_rung(now, id, rung, out);
-            if let Some(server) = self.sessions.get(&id).and_then(|s| s.server) {
-                self.resum(now, server);
-            }
+            self.turn(now, id, rung, out);
         }
     }
 
+    /// After a change to lower tops: at each look one in five of those above theirs goes there, in one
+    /// switch, the highest first. All at once would be a burst at the servers.
+    fn lower(&mut self, now: Time, out: &mut Vec<Action>) {
+        let over = |s: &Session| (s.phase == Phase::Playing).then(|| s.rung.checked_sub(s.top)).flatten();
+        let over = self.sessions.iter().filter_map(|(id, s)| Some((over(s).filter(|n| *n > 0)?, *id)));
+        let mut over: Vec<_> = over.collect();
+        over.sort_by_key(|(by, _)| std::cmp::Reverse(*by));
+        over.truncate((FRACTION * over.len() as f64).ceil() as usize);
+        over.into_iter().for_each(|(_, id)| self.turn(now, id, u8::MAX, out));
+    }
+
     /// Own part of the shortage on a server's link and on its rack's uplink is shed at once, in proportion:
     /// every front hears of it and sheds its own part, so none needs to know the others.
     fn relieve(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
@@ -582,7 +616,7 @@
             if !settled(server.short_at) || !settled(rack.short_at) || rack.alert_until > now {
                 continue;
             }
-            let (at, rung, held) = (server.entry.server, s.rung + 1, rate(&self.set, s.class, s.rung));
+            let (rung, held) = (s.rung + 1, rate(&self.set, s.class, s.rung));
             let kb = (self.added_kb(server, s, rung) - held).max(0.0);
             let used = self.strain(now, server, 0.0, None);
             let part = (MARK - used) / (used * kb / held).max(1e-6);
@@ -591,8 +625,7 @@
             let fits = earns && self.strain(now, server, kb, None) <= MARK;
             self.sessions.entry(id).and_modify(|s| s.weighed = now);
             if fits && self.chance(part) {
-                self.set_rung(now, id, rung, out);
-                self.resum(now, at);
+                self.turn(now, id, rung, out);
             }
         }
     }
@@ -627,7 +660,7 @@
         let price = over.map_or(0.0, |(slope, _)| *slope);
         let own = self.steps[s.class].iter().filter(|(rung, ..)| *rung <= s.top);
         let fair = own.take_while(|(_, kb, worth)| s.value * worth / kb >= price).last();
-        fair.map_or(self.set.classes[s.class].floor, |(rung, ..)| *rung)
+        fair.map_or(s.floor, |(rung, ..)| *rung)
     }
 
     fn sound(&self, now: Time, server: &Server) -> bool {
@@ -637,7 +670,6 @@
     /// Finds a server and a rung, or gives the final answer at once.
     fn place(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get(&id) else { return };
-        let class = &self.set.classes[s.class];
         let mut ranked: Vec<(Rank, ServerId, u8)> = Vec::new();
         let sample = self.sample(Some(s));
         for server in self.servers.values().filter(|h| holds(&self.set, h, &s.wish)) {
@@ -648,13 +680,13 @@
                 continue;
             }
             // The first worthwhile rung may go past the mark: the others there will make room.
-            let entry = self.steps[s.class].first().map_or(class.floor, |(r, ..)| *r);
+            let entry = self.steps[s.class].first().map_or(s.floor, |(r, ..)| *r);
             let newcomer = |r: u8| Some((s.wish.title, r <= entry));
             let with = |r: u8| self.strain(now, server, self.added_kb(server, s, r), newcomer(r));
             let used = self.strain(now, server, 0.0, Some((s.wish.title, false)));
             let fair = self.fair_rung(&sample, used, s).min(s.cap);
             let fits = |r: &u8| with(*r) <= if *r <= entry { ENTRY } else { MARK };
-            let Some(rung) = (class.floor..=fair.max(class.floor)).rev().find(fits) else { continue };
+            let Some(rung) = (s.floor..=fair.max(s.floor)).rev().find(fits) else { continue };
             let alerted = self.racks[server.rack as usize].alert_until > now;
             let sound = self.sound(now, server);
             let crossing = if server.entry.zone == self.set.zone { 0.0 } else { self.set.prices.cross_zone };
@@ -668,7 +700,7 @@
             // Departure: viewers of a live title gather where its stream of that rung already plays.
             let joins = self.added_kb(server, s, rung) < rate(&self.set, s.class, rung);
             // The fewest sessions for its size as inferred from what is seen, else the fewest own.
-            let burden = if joins { -1.0 } else { with(class.floor) + cold };
+            let burden = if joins { -1.0 } else { with(s.floor) + cold };
             ranked.push(((sound, !alerted, worth, -burden, -own / places), server.entry.server, rung));
         }
         // Fronts that know nothing of the holders spread over them.
@@ -698,12 +730,8 @@
 
     fn admit(&mut self, now: Time, id: SessionId, wish: Wish) -> Option<&mut Session> {
         let class = usize::from(wish.class.0).min(self.set.classes.len() - 1);
-        let c = &self.set.classes[class];
-        let ladder_top = (self.set.ladder.len() - 1) as f64;
-        // A missing or senseless top counts as the class's floor.
-        let top = wish.top.min(ladder_top).max(0.0) as u8;
-        let top = top.min(c.top).max(c.floor);
-        self.sessions.insert(id, Session::new(now, wish, class, c.floor, top, c.value));
+        let top = highest(&self.set, class, &wish);
+        self.sessions.insert(id, Session::new(now, wish, class, &self.set.classes[class], top));
         self.sessions.get_mut(&id)
     }
 
@@ -735,10 +763,13 @@
         self.learn_usual(now);
     }
 
-    fn started(&mut self, now: Time, id: SessionId, server: ServerId) {
+    fn started(&mut self, now: Time, id: SessionId, server: ServerId, out: &mut Vec<Action>) {
         if let Some(s) = self.sessions.get_mut(&id) {
             (s.phase, s.since, s.changed) = (Phase::Playing, now, now);
         }
+        if self.fit(now, id, out) {
+            self.resum(now, server);
+        }
         if let Some(state) = self.servers.get_mut(&server) {
             if state.lost {
                 (state.lost, state.cold_from) = (false, Some(now));
@@ -853,6 +884,7 @@
         for rack in 0..self.set.racks {
             self.alert(now, rack, out);
         }
+        self.lower(now, out);
         self.rise(now, out);
     }
 
@@ -898,9 +930,8 @@
     /// Rules 2 to 6 for one set-up. Nothing else in this module emits `Action::SetUp`.
     fn may_send(&self, now: Time, id: SessionId, server: &Server) -> bool {
         let Some(s) = self.sessions.get(&id) else { return false };
-        let class = &self.set.classes[s.class];
         // Rule 2: never two attempts out, no second set-up of what may have run.
-        let repeatable = match (class.repeat, s.first_run) {
+        let repeatable = match (s.repeat, s.first_run) {
             (Repeat::Harmless, _) => true,
             (Repeat::Never, _) | (Repeat::Within(..), None) => !s.maybe_ran,
             (Repeat::Within(group, span), Some((at, first))) => {
@@ -913,7 +944,7 @@
                 !s.maybe_ran || (same && now <= at.saturating_add(span))
             }
         };
-        let seats = class.seats as usize;
+        let seats = self.set.classes[s.class].seats as usize;
         let alike = |o: &&Session| o.server.is_some() && o.class == s.class && o.wish.title == s.wish.title;
         s.phase == Phase::Waiting
             && now < s.deadline
@@ -976,10 +1007,9 @@
         let budget = self.within_budget(now);
         self.set_rung(now, id, rung, out);
         let Some(s) = self.sessions.get_mut(&id) else { return false };
-        let class = &self.set.classes[s.class];
-        let again = class.repeat != Repeat::Never && s.attempts + 1 < self.set.max_attempts && budget;
+        let again = s.repeat != Repeat::Never && s.attempts + 1 < self.set.max_attempts && budget;
         let left = s.deadline - now;
-        let wait = if again { left.min((class.aim as f64 * TRY_SHARE) as Time) } else { left };
+        let wait = if again { left.min((s.aim as f64 * TRY_SHARE) as Time) } else { left };
         if s.attempts > 0 {
             self.further.push(now, 1.0, self.set.rules.budget.map_or(0, |b| b.window));
         }
@@ -999,10 +1029,23 @@
     /// Rule 5: no rung under the class's floor or over the viewer's top.
     fn set_rung(&mut self, now: Time, id: SessionId, rung: u8, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        (s.rung, s.changed) = (rung.min(s.top).max(self.set.classes[s.class].floor), now);
+        (s.rung, s.changed) = (rung.min(s.top).max(s.floor), now);
         out.push(Action::SetRung(id, s.rung));
     }
 
+    fn turn(&mut self, now: Time, id: SessionId, rung: u8, out: &mut Vec<Action>) {
+        self.set_rung(now, id, rung, out);
+        if let Some(server) = self.sessions.get(&id).and_then(|s| s.server) {
+            self.resum(now, server);
+        }
+    }
+
+    /// Rule 5 where a class has changed; true if the rung was set: up to a floor at once.
+    fn fit(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) -> bool {
+        let rung = self.sessions.get_mut(&id).and_then(|s| s.bounded(&self.set));
+        rung.map(|rung| self.set_rung(now, id, rung, out)).is_some()
+    }
+
     fn shift(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         if let (Phase::Playing, Some(server), false) = (s.phase, s.server, s.moving) {
@@ -1016,8 +1059,7 @@
     /// honest, else a failure. With an attempt out its outcome comes first.
     fn give_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
         let Some(s) = self.sessions.get(&id).filter(|s| s.phase == Phase::Waiting) else { return };
-        let repeat = self.set.classes[s.class].repeat;
-        let honest = !s.maybe_ran || matches!(repeat, Repeat::Harmless | Repeat::Within(Group::All, _));
+        let honest = !s.maybe_ran || matches!(s.repeat, Repeat::Harmless | Repeat::Within(Group::All, _));
         let advice = self.set.advice.then_some(self.set.max_advice);
         out.push(if honest && now < s.deadline { Action::Refuse(id, advice) } else { Action::Fail(id) });
         self.forget(now, id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,7 +151,7 @@
     pub handshake: f64,
 }
 
-/// What a front end is told when it starts.
+/// What a front end is told when it starts, or later by [`Controller::change`](crate::Controller::change).
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Number of fronts.
@@ -256,6 +256,29 @@
             None => Ok(()),
         }
     }
+
+    /// May a front that goes by these go on by others? Racks, cells, zone, fronts, gauges and kinds are what its
+    /// accounts are built on; classes and tenants are known by index, so that none may be missing.
+    ///
+    /// # Errors
+    /// Names the first figure that cannot change.
+    pub fn may_become(&self, next: &Self) -> Result<(), SettingsError> {
+        let tests = [
+            (self.racks == next.racks, "the number of racks cannot change"),
+            (self.cells == next.cells, "the number of cells cannot change"),
+            (self.zone == next.zone, "the zone cannot change"),
+            (self.fronts == next.fronts, "the number of fronts cannot change"),
+            (self.gauges == next.gauges, "the gauges cannot change"),
+            (self.kind_streams.len() == next.kind_streams.len(), "the kinds of server cannot change"),
+            (self.list_on_request == next.list_on_request, "the way of the list cannot change"),
+            (self.classes.len() <= next.classes.len(), "a class is missing; classes are known by index"),
+            (self.tenants.len() <= next.tenants.len(), "a tenant is missing; tenants are known by index"),
+        ];
+        match tests.iter().find(|(ok, _)| !ok) {
+            Some((_, what)) => Err(SettingsError((*what).to_owned())),
+            None => Ok(()),
+        }
+    }
 }
 
 /// What a server's list entry says of it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,11 @@
 pub struct Session {
     pub wish: Wish,
     pub class: usize,
+    /// As the class had it when the request came: what one request is promised never changes.
+    pub aim: Time,
+    pub repeat: Repeat,
+    /// Its bounds, as long as it is set up those of then and of now.
+    pub floor: u8,
     pub top: u8,
     pub value: f64,
     pub rung: u8,
@@ -123,13 +128,16 @@
 
 impl Session {
     /// A request as it comes.
-    pub fn new(now: Time, wish: Wish, class: usize, floor: u8, top: u8, value: f64) -> Self {
+    pub fn new(now: Time, wish: Wish, class: usize, terms: &Class, top: u8) -> Self {
         Self {
             wish,
             class,
+            aim: terms.aim,
+            repeat: terms.repeat,
+            floor: terms.floor,
             top,
-            value,
-            rung: floor,
+            value: terms.value,
+            rung: terms.floor,
             phase: Phase::Waiting,
             server: None,
             asked: BTreeSet::new(),
@@ -147,6 +155,30 @@
     }
 }
 
+impl Session {
+    /// Takes over the bounds that its class has now; one that is still set up keeps to its own too. The rung that it
+    /// must have instead, if any: one that plays above the top may stay there a while, but on the ladder.
+    pub fn bounded(&mut self, set: &Settings) -> Option<u8> {
+        let (class, last) = (&set.classes[self.class], (set.ladder.len() - 1) as u8);
+        let (mut floor, mut top) = (class.floor, highest(set, self.class, &self.wish));
+        let playing = self.phase == Phase::Playing;
+        if playing {
+            self.value = class.value;
+        } else {
+            top = top.min(self.top).max(floor);
+            floor = floor.max(self.floor).min(top);
+        }
+        // A rung that a server told, and that is off the same bounds as before, is not this change's to mend.
+        if (floor, top) == (self.floor, self.top) && self.rung <= last {
+            return None;
+        }
+        (self.floor, self.top) = (floor, top);
+        let was = self.rung;
+        self.rung = was.max(floor).min(if playing { last } else { top });
+        (self.rung != was && self.server.is_some()).then_some(self.rung)
+    }
+}
+
 /// A number between 0 and 1 of the upper bits.
 pub fn unit(bits: u64) -> f64 {
     (bits >> 11) as f64 / (1u64 << 53) as f64
@@ -165,9 +197,20 @@
     (f64::from(server.entry.cell) + cells - home.floor()) % cells < copies.floor()
 }
 
-/// Rate of a class on a rung, kB a second.
+/// Rate of a class on a rung, kB a second. A rung above the ladder, as a change can leave it, counts as the last.
 pub fn rate(set: &Settings, class: usize, rung: u8) -> f64 {
-    set.ladder[usize::from(rung)].kb * set.classes[class].scale
+    set.ladder[usize::from(rung).min(set.ladder.len() - 1)].kb * set.classes[class].scale
+}
+
+/// Highest rung for a wish; a missing or senseless top counts as the class's floor.
+pub fn highest(set: &Settings, class: usize, wish: &Wish) -> u8 {
+    let top = wish.top.min((set.ladder.len() - 1) as f64).max(0.0) as u8;
+    top.min(set.classes[class].top).max(set.classes[class].floor)
+}
+
+/// The rungs worth choosing, for each class.
+pub fn all_steps(set: &Settings) -> Vec<Vec<(u8, f64, f64)>> {
+    set.classes.iter().map(|c| worthwhile(c, &set.ladder)).collect()
 }
 
 /// Streams that a server runs at most; an unknown kind counts as the last one.
--- /dev/null
+++ b/tests/policy/main.rs
@@ -0,0 +1,485 @@
+//! A policy that changes while a front runs: one that changes nothing changes no decision, and whatever changes
+//! when, the six rules hold.
+
+mod checker;
+#[path = "../common/mod.rs"]
+mod common;
+
+use checker::Checker;
+use common::*;
+use pepperhook::*;
+use std::collections::BTreeMap;
+
+struct Draw(u64);
+
+impl Draw {
+    fn of(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+}
+
+/// What is due at some time.
+enum Due {
+    Timer(u64),
+    Ends(SessionId, ServerId, Outcome),
+    Moves(SessionId),
+    Probed(ServerId),
+}
+
+/// Three classes that differ in everything, twelve servers.
+fn policy() -> Settings {
+    let paid = Class { repeat: Repeat::Never, value: 3.0, floor: 1, seats: 3, ..class() };
+    let live = Class { live: true, scale: 0.8, top: 3, ..class() };
+    let near = Class { repeat: Repeat::Within(Group::Cell, S), aim: 400 * MS, ..class() };
+    let mut set = settings();
+    (set.cells, set.racks, set.join, set.probes) = (12, 3, 0.2, true);
+    set.classes = vec![paid, live, near];
+    set.prices.probe = 0.02;
+    set.rules.budget = Some(RetryBudget { free: 2.0, share: 0.2, window: 5 * S });
+    set
+}
+
+/// Another policy for the same fleet.
+fn drawn(draw: &mut Draw) -> Settings {
+    let mut set = policy();
+    set.ladder.truncate(3 + draw.of(3) as usize);
+    let last = set.ladder.len() as u64 - 1;
+    let rates = 0.6 + draw.of(9) as f64 / 10.0;
+    set.ladder.iter_mut().for_each(|r| r.kb *= rates);
+    for c in &mut set.classes {
+        c.floor = draw.of(last + 1) as u8;
+        c.top = c.floor + draw.of(5) as u8;
+        c.seats = draw.of(4) as u32;
+        c.value = 1.0 + draw.of(5) as f64;
+        c.scale = 0.5 + draw.of(3) as f64 / 2.0;
+        c.aim = (200 + 200 * draw.of(5)) * MS;
+        c.repeat = [Repeat::Harmless, Repeat::Never, Repeat::Within(Group::Zone, 2 * S)][draw.of(3) as usize];
+        c.live = draw.of(3) == 0;
+    }
+    set.max_attempts = 1 + draw.of(4) as u32;
+    set.uplink_kb = 4_000.0 + draw.of(10) as f64 * 1_000.0;
+    set.kb_per_weight = 4_000.0 + draw.of(10) as f64 * 1_000.0;
+    set.rules.cold = (6 + draw.of(8)) * S;
+    set.rules.fall_window = (1 + draw.of(4)) * S;
+    set.rules.fall_multiple = 0.5 + draw.of(4) as f64;
+    let budget =
+        RetryBudget { free: draw.of(4) as f64, share: draw.of(3) as f64 / 10.0, window: draw.of(9) * S };
+    set.rules.budget = (draw.of(4) > 0).then_some(budget);
+    set
+}
+
+/// One front in a world of its own, with a checker beside it.
+struct World {
+    controller: Controller,
+    checker: Checker,
+    now: Time,
+    draw: Draw,
+    due: BTreeMap<(Time, u64), Due>,
+    order: u64,
+    next: u64,
+    playing: Vec<(SessionId, ServerId)>,
+    list: Vec<ServerEntry>,
+    said: Vec<String>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            controller: Controller::new(policy(), seed).expect("settings that agree"),
+            checker: Checker::new(policy()),
+            now: 100 * S,
+            draw: Draw(seed),
+            due: BTreeMap::new(),
+            order: 0,
+            next: 0,
+            playing: Vec::new(),
+            list: (0..12).map(|i| server(i + 1, i)).collect(),
+            said: Vec::new(),
+        };
+        let list = world.list.clone();
+        world.tell(Event::ListFull(list));
+        world
+    }
+
+    fn at(&mut self, after: Time, due: Due) {
+        self.order += 1;
+        self.due.insert((self.now + after, self.order), due);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            if let Err(e) = self.checker.action(self.now, &action) {
+                panic!("at {}: {e}", self.now);
+            }
+            self.said.push(format!("{} {action:?}", self.now));
+            match action {
+                Action::SetTimer(after, token) => self.at(after, Due::Timer(token)),
+                Action::SetUp(id, server, wait) => {
+                    let how = [Outcome::Full, Outcome::Error, Outcome::ConnectFailed, Outcome::Broken];
+                    let (after, outcome) = match self.draw.of(12) {
+                        0..=5 => (self.draw.of(wait / 2 + 1), Outcome::Served),
+                        6 | 7 => (wait, Outcome::TimedOut),
+                        other => (self.draw.of(wait / 8 + 1), how[(other - 8) as usize % 4]),
+                    };
+                    self.at(after, Due::Ends(id, server, outcome));
+                }
+                Action::Move(id) => self.at(50 * MS, Due::Moves(id)),
+                Action::Probe(server) => self.at(20 * MS, Due::Probed(server)),
+                _ => {}
+            }
+        }
+        if let Err(e) = self.checker.standing() {
+            panic!("at {}: {e}", self.now);
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.checker.event(self.now, &event);
+        let mut out = Vec::new();
+        self.controller.handle(self.now, event, &mut out);
+        self.carry_out(out);
+    }
+
+    fn change(&mut self, set: Settings) -> usize {
+        self.checker.change(self.now, &set);
+        let mut out = Vec::new();
+        self.controller.change(self.now, set, &mut out).expect("a policy that agrees");
+        let done = out.len();
+        self.carry_out(out);
+        done
+    }
+
+    fn end(&mut self, session: SessionId, server: ServerId, outcome: Outcome, settled: bool) {
+        let report = if self.draw.of(3) == 0 { vec![0.5, 0.4] } else { vec![] };
+        self.tell(Event::Ended { session, server, outcome, settled, report });
+    }
+
+    /// Lets time pass.
+    fn pass(&mut self, time: Time) {
+        let until = self.now + time;
+        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= until) {
+            let ((at, _), due) = entry.remove_entry();
+            self.now = at;
+            match due {
+                Due::Timer(token) => self.tell(Event::Timer(token)),
+                Due::Ends(id, server, Outcome::Served) => {
+                    self.playing.push((id, server));
+                    self.tell(Event::Started(id, server));
+                }
+                Due::Ends(id, server, outcome) => self.end(id, server, outcome, false),
+                Due::Moves(id) => {
+                    if let Some(i) = self.playing.iter().position(|(p, _)| *p == id) {
+                        let (id, server) = self.playing.swap_remove(i);
+                        self.end(id, server, Outcome::Cancelled, true);
+                    }
+                }
+                Due::Probed(server) => {
+                    let load = self.draw.of(90) as f64 / 100.0;
+                    let report = (self.draw.of(9) > 0).then(|| vec![load, load / 2.0]);
+                    self.tell(Event::Probed(server, report));
+                }
+            }
+            if let Err(e) = self.checker.overdue(self.now) {
+                panic!("at {}: {e}", self.now);
+            }
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self) {
+        let time = self.draw.of(60) * MS;
+        self.pass(time);
+        let any = |draw: &mut Draw, n: usize| draw.of(n as u64) as usize;
+        match self.draw.of(20) {
+            0..=8 => {
+                self.next += 1;
+                let mut w = wish(self.next, self.draw.of(12) as f64, 4.0);
+                w.class = ClassId(self.draw.of(3) as u16);
+                w.title = TitleId(self.draw.of(4) + 10 * u64::from(w.class.0));
+                (w.top, w.patience) = (self.draw.of(5) as f64, (1 + self.draw.of(4)) * S);
+                self.tell(Event::Request(SessionId(self.next), w));
+            }
+            9 | 10 if self.playing.len() > 40 => {
+                let i = any(&mut self.draw, self.playing.len());
+                let (id, server) = self.playing.swap_remove(i);
+                self.end(id, server, Outcome::Served, true);
+            }
+            11..=14 if !self.playing.is_empty() => {
+                let i = any(&mut self.draw, self.playing.len());
+                let (id, server) = self.playing[i];
+                let kind =
+                    [NoteKind::LinkUse, NoteKind::UplinkUse, NoteKind::Delivered][any(&mut self.draw, 3)];
+                let value = self.draw.of(130) as f64 / 100.0;
+                self.tell(Event::Note(id, server, kind, value));
+            }
+            15 if self.draw.of(8) == 0 => {
+                let i = any(&mut self.draw, 12);
+                self.list[i].state =
+                    if self.draw.of(2) == 0 { ServerState::Draining } else { ServerState::Ready };
+                if self.draw.of(2) == 0 {
+                    self.list[i].started = Some(self.now);
+                }
+                let entry = self.list[i];
+                self.tell(Event::ListChanged(vec![entry]));
+            }
+            16 => {
+                let (id, kb) = (ServerId(self.draw.of(12) as u32 + 1), self.draw.of(3) as f64 * 800.0);
+                let hold = Hold { titles: vec![TitleId(self.draw.of(4))], each: 300.0, on: vec![(id, kb)] };
+                let which = HoldId(self.draw.of(3));
+                self.tell(Event::Held(which, hold));
+            }
+            17 => {
+                let (id, used) = (ServerId(self.draw.of(12) as u32 + 1), self.draw.of(110) as f64 / 100.0);
+                let age = self.draw.of(900) * MS;
+                self.tell(Event::Seen(id, age, vec![used, used]));
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_change_to_the_same_policy_changes_no_decision() {
+    for seed in 0..24 {
+        let (mut plain, mut changed, mut when) = (World::new(seed), World::new(seed), Draw(!seed));
+        let mut changes = 0;
+        for _ in 0..900 {
+            plain.step();
+            changed.step();
+            if when.of(6) == 0 {
+                changes += 1;
+                assert_eq!(changed.change(policy()), 0, "nothing is to be done");
+            }
+        }
+        assert!(changes > 100 && plain.said.len() > 1_000);
+        let differs = plain.said.iter().zip(&changed.said).position(|(a, b)| a != b);
+        assert_eq!(differs, None, "seed {seed}");
+        assert_eq!(plain.said.len(), changed.said.len());
+    }
+}
+
+#[test]
+fn the_rules_hold_whatever_changes_at_whatever_moment() {
+    let (mut changes, mut over, mut sent) = (0, 0, 0);
+    for seed in 0..40 {
+        let (mut w, mut when) = (World::new(seed), Draw(!seed));
+        for _ in 0..700 {
+            w.step();
+            if when.of(25) == 0 {
+                let set = drawn(&mut when);
+                w.change(set);
+                changes += 1;
+                over += w.checker.over();
+            }
+        }
+        w.pass(5 * S);
+        // One in five at each look: of less than a hundred none is left after 25 looks.
+        w.pass(13 * S);
+        assert_eq!(w.checker.over(), 0, "seed {seed}: some still play above the top");
+        w.checker.overdue(Time::MAX).expect("each request has its answer");
+        sent += w.said.iter().filter(|s| s.contains("SetUp")).count();
+    }
+    assert!(
+        changes > 1_000 && over > 5_000 && sent > 3_000,
+        "{changes} changes, {over} over, {sent} set-ups"
+    );
+}
+
+fn ready(classes: impl Fn(&mut Class)) -> (Checker, SessionId) {
+    let mut set = policy();
+    set.classes.iter_mut().for_each(classes);
+    let mut c = Checker::new(set);
+    c.event(
+        0,
+        &Event::ListFull(vec![server(1, 0), ServerEntry { state: ServerState::Draining, ..server(2, 1) }]),
+    );
+    c.event(0, &Event::Request(SessionId(1), Wish { patience: S, ..wish(1, 0.0, 4.0) }));
+    (c, SessionId(1))
+}
+
+#[test]
+fn the_checker_sees_what_breaks_a_rule() {
+    let (mut c, id) = ready(|_| {});
+    let broken = |r: Result<(), String>, rule: &str| {
+        let e = r.expect_err(rule);
+        assert!(e.contains(rule), "{e}");
+    };
+    broken(c.action(0, &Action::SetUp(id, ServerId(2), S)), "rule 3");
+    broken(c.action(0, &Action::SetUp(id, ServerId(1), 2 * S)), "rule 1");
+    broken(c.action(0, &Action::SetRung(id, 0)), "rule 5");
+    c.action(0, &Action::SetRung(id, 4)).expect("within its bounds");
+    c.action(0, &Action::SetUp(id, ServerId(1), S)).expect("the first");
+    broken(c.action(0, &Action::SetUp(id, ServerId(1), S)), "rule 2");
+    broken(c.action(0, &Action::Fail(id)), "rule 1");
+    c.event(0, &Event::Started(id, ServerId(1)));
+    let mut lower = policy();
+    lower.classes[0].top = 2;
+    c.change(0, &lower);
+    assert_eq!(c.over(), 1);
+    c.standing().expect("it may stay a while");
+    lower.classes[0].seats = 1;
+    c.change(0, &lower);
+    c.event(0, &Event::Request(SessionId(2), Wish { title: TitleId(1), patience: S, ..wish(2, 0.0, 4.0) }));
+    broken(c.action(0, &Action::SetUp(SessionId(2), ServerId(1), S)), "rule 5");
+    broken(c.overdue(2 * S), "rule 1");
+    c.action(0, &Action::SetRung(id, 1)).expect("down");
+    lower.classes[0].floor = 2;
+    c.change(0, &lower);
+    broken(c.standing(), "rule 5");
+    // A paid one that may have run, a cold server, and the ration.
+    let (mut c, id) = ready(|c| c.repeat = Repeat::Never);
+    c.action(0, &Action::SetRung(id, 1)).expect("within its bounds");
+    c.action(0, &Action::SetUp(id, ServerId(1), S)).expect("the first");
+    let end =
+        |outcome| Event::Ended { session: id, server: ServerId(1), outcome, settled: false, report: vec![] };
+    c.event(0, &end(Outcome::TimedOut));
+    broken(c.action(0, &Action::SetUp(id, ServerId(1), S)), "rule 2");
+    let (mut c, id) = ready(|c| (c.seats, c.repeat) = (0, Repeat::Harmless));
+    c.action(0, &Action::SetRung(id, 1)).expect("within its bounds");
+    for n in 0..3 {
+        c.action(0, &Action::SetUp(id, ServerId(1), S)).unwrap_or_else(|e| panic!("{n}: {e}"));
+        c.event(0, &end(Outcome::Full));
+        if n == 1 {
+            // What the account had counted stays in it.
+            let mut set = policy();
+            set.max_attempts = 9;
+            c.change(0, &set);
+        }
+    }
+    broken(c.action(0, &Action::SetUp(id, ServerId(1), S)), "rule 6");
+    let (mut c, _) = ready(|c| c.seats = 0);
+    c.event(S, &Event::ListChanged(vec![ServerEntry { started: Some(S), ..server(1, 0) }]));
+    let sent = (2..20).find_map(|n| {
+        let id = SessionId(n);
+        c.event(S, &Event::Request(id, wish(n, 0.0, 4.0)));
+        c.action(S, &Action::SetRung(id, 1)).expect("within its bounds");
+        c.action(S, &Action::SetUp(id, ServerId(1), S)).err()
+    });
+    assert!(sent.is_some_and(|e| e.contains("rule 4")));
+}
+
+/// One front whose class is like this, with twelve sessions on two servers.
+fn twelve(classes: impl Fn(&mut Class)) -> (Front, Settings) {
+    let mut set = settings();
+    (set.uplink_kb, set.kb_per_weight) = (100_000.0, 100_000.0);
+    classes(&mut set.classes[0]);
+    let mut f = Front::new(set.clone(), &[server(1, 0), server(2, 1)]);
+    for n in 1..=12 {
+        f.play(n, Wish { title: TitleId(5), ..wish(n, 0.0, 2.0) });
+    }
+    (f, set)
+}
+
+fn change(f: &mut Front, set: &Settings) -> Vec<Action> {
+    let mut out = Vec::new();
+    f.controller.change(f.now, set.clone(), &mut out).expect("a policy that agrees");
+    out
+}
+
+#[test]
+fn a_higher_floor_is_met_at_once_and_a_lower_top_by_one_in_five_a_look() {
+    let (mut f, mut set) = twelve(|c| c.top = 2);
+    set.classes[0] = Class { floor: 3, top: 4, ..set.classes[0].clone() };
+    let raised = change(&mut f, &set);
+    assert_eq!(raised.iter().filter(|a| matches!(a, Action::SetRung(_, 3))).count(), 12);
+    assert_eq!(raised.len(), 12);
+    set.classes[0] = Class { floor: 0, top: 1, ..set.classes[0].clone() };
+    assert_eq!(change(&mut f, &set), []);
+    let looks: Vec<usize> = (0..9).map(|_| lowered(&f.pass(500 * MS)).len()).collect();
+    assert_eq!(looks, [3, 2, 2, 1, 1, 1, 1, 1, 0]);
+}
+
+#[test]
+fn fewer_seats_than_stand_take_nothing_new_until_there_is_one() {
+    let (mut f, mut set) = twelve(|_| {});
+    set.classes[0].seats = 11;
+    assert_eq!(change(&mut f, &set), [], "who stands plays on");
+    let same = |n| Wish { title: TitleId(5), ..wish(n, 0.0, 2.0) };
+    assert_eq!(f.ask(13, same(13)), None);
+    f.end(1, ServerId(1), Outcome::Served, true);
+    assert_eq!(f.ask(14, same(14)), None);
+    f.end(2, ServerId(1), Outcome::Served, true);
+    assert!(f.ask(15, same(15)).is_some());
+}
+
+#[test]
+fn an_open_set_up_keeps_what_it_was_promised() {
+    let two = [server(1, 0), server(2, 1)];
+    for (before, after, again) in
+        [(Repeat::Never, Repeat::Harmless, false), (Repeat::Harmless, Repeat::Never, true)]
+    {
+        let mut set = settings();
+        set.classes[0].repeat = before;
+        let mut f = Front::new(set.clone(), &two);
+        let (at, _) = f.ask(1, wish(1, 0.0, 2.0)).expect("set up");
+        (set.classes[0].repeat, set.classes[0].aim) = (after, 100 * MS);
+        change(&mut f, &set);
+        let sent = f.end(1, at, Outcome::Error, false);
+        assert_eq!(placed(&sent).is_some(), again);
+        assert!(
+            !again || sent.iter().any(|a| matches!(a, Action::SetUp(_, _, w) if *w == 400 * MS)),
+            "its aim"
+        );
+    }
+}
+
+#[test]
+fn an_open_set_up_goes_by_the_tighter_bounds_and_a_session_by_those_in_force() {
+    let mut set = settings();
+    set.classes[0].top = 1;
+    let mut f = Front::new(set.clone(), &[server(1, 0)]);
+    let (at, _) = f.ask(1, wish(1, 0.0, 1.0)).expect("set up");
+    set.classes[0].top = 4;
+    assert_eq!(change(&mut f, &set), []);
+    assert!(f.tell(Event::Started(SessionId(1), at)).is_empty());
+    assert!(!lowered(&f.pass(20 * S)).is_empty(), "it rises to the top in force");
+    set.classes[0].floor = 2;
+    let (at, rung) = f.ask(2, wish(2, 0.0, 1.0)).expect("set up");
+    assert!(rung >= 2 || lowered(&change(&mut f, &set)).contains(&2), "the floor in force holds at once");
+    f.tell(Event::Started(SessionId(2), at));
+}
+
+#[test]
+fn what_was_counted_and_seen_stands() {
+    let mut set = settings();
+    set.rules.budget = Some(RetryBudget { free: 1.0, share: 0.0, window: 10 * S });
+    let mut f = Front::new(set.clone(), &[server(1, 0), server(2, 1)]);
+    let (at, _) = f.ask(1, wish(1, 0.0, 2.0)).expect("set up");
+    let (again, _) = placed(&f.end(1, at, Outcome::ConnectFailed, false)).expect("the one free attempt");
+    f.end(1, again, Outcome::Served, true);
+    f.tell(Event::Seen(again, 0, vec![0.9, 0.9]));
+    let held = f.controller.view(f.now);
+    set.rules.budget = Some(RetryBudget { free: 1.0, share: 0.0, window: 8 * S });
+    change(&mut f, &set);
+    assert_eq!(f.controller.view(f.now), held, "bars, warmth and readings");
+    f.now += 8 * S;
+    let (at, _) = f.ask(2, wish(2, 0.0, 2.0)).expect("set up");
+    assert_eq!(placed(&f.end(2, at, Outcome::Full, false)), None, "the free attempt was used in this window");
+}
+
+#[test]
+fn a_class_may_come_but_none_may_go_and_what_accounts_rest_on_stays() {
+    let mut f = Front::new(settings(), &[server(1, 0)]);
+    let mut more = settings();
+    more.classes.push(Class { floor: 3, ..class() });
+    change(&mut f, &more);
+    let (_, rung) = f.ask(1, Wish { class: ClassId(1), top: 0.0, ..wish(1, 0.0, 1.0) }).expect("set up");
+    assert_eq!(rung, 3, "the new class's floor");
+    let wrong: [fn(&mut Settings); 6] = [
+        |s| s.classes.truncate(1),
+        |s| s.racks += 1,
+        |s| s.cells += 1,
+        |s| s.fronts += 1,
+        |s| s.gauges.push(Gauge::Other),
+        |s| s.ladder.clear(),
+    ];
+    for make in wrong {
+        let mut set = more.clone();
+        make(&mut set);
+        let mut out = Vec::new();
+        assert!(f.controller.change(f.now, set, &mut out).is_err() && out.is_empty());
+    }
+    let (_, rung) = f.ask(2, Wish { class: ClassId(1), top: 0.0, ..wish(2, 0.0, 1.0) }).expect("set up");
+    assert_eq!(rung, 3, "the last good one stays in force");
+}
