What the fleet agrees on travels on a lane of the exchange, and serve goes by it

Joins node, governor and engine: lane 4, the voter's store on a thread of its own, policies into the engine before they are vouched for, the fence asked before each set-up, GET and POST /policy, POST /voters, pepperhook policy. Off unless settings have a section agreement: no task, file, timer or byte more.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -20,5 +20,6 @@
 
 pub use node::{Node, Note, Out, Settings, View};
 pub use proposals::Answer;
-pub use registers::{Outcome, Register, Registers};
+pub use registers::{Outcome, Register, Registers, sound_voters};
+pub use store::{Kept, KeptLog, Op, Store, StoreError};
 pub use types::*;
--- a/crates/agreement/src/node/view.rs
+++ b/crates/agreement/src/node/view.rs
@@ -45,6 +45,25 @@
 }
 
 impl Node {
+    /// This front's number.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.s.me
+    }
+
+    /// Whether this front leads the voters now.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.id.is_some() && self.leader() == self.id
+    }
+
+    /// The store that a front said it has, if it was heard of lately.
+    #[must_use]
+    pub fn store_of(&self, front: u64) -> Option<u64> {
+        let own = self.id.filter(|v| v.front == front).map(|v| v.store);
+        own.or_else(|| self.stores.get(&front).map(|(store, _)| *store)).filter(|s| *s != 0)
+    }
+
     /// This front's part as it stands.
     #[must_use]
     pub fn rows(&self, now_ms: u64) -> View {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,11 @@
 //! The `pepperhook` command: serves, checks settings, stands in for playout nodes, rehearses.
 
+mod admin;
 mod demo;
 mod log;
 mod peak;
 mod platform;
+mod policy;
 mod rehearse;
 mod serve;
 
@@ -77,6 +79,17 @@
         #[command(subcommand)]
         verb: peak::Verb,
     },
+    /// Show or change the policy that the fleet agrees on, or who votes on it, at a running front.
+    Policy {
+        /// Admin address of the front.
+        #[arg(long)]
+        admin: std::net::SocketAddr,
+        /// File that holds the admin key; else the environment variable PEPPERHOOK_ADMIN_KEY.
+        #[arg(long)]
+        key_file: Option<PathBuf>,
+        #[command(subcommand)]
+        verb: policy::Verb,
+    },
     /// Run a front, nine stand-in nodes and scripted viewers in one process, without any file.
     Demo {
         /// Stop after this time, such as 30s or 2m; else run until a signal.
@@ -143,6 +156,7 @@
             run(rehearse::rehearse(what))
         }
         Verb::Peak { admin, key_file, verb } => run(peak::peak(admin, key_file, verb)),
+        Verb::Policy { admin, key_file, verb } => run(policy::policy(admin, key_file, verb)),
         Verb::Demo { length, rate, seed } => {
             log::start(pepperhook_settings::LogForm::Text, "warn");
             run(demo::demo(length, rate, seed))
--- a/crates/cli/src/peak.rs
+++ b/crates/cli/src/peak.rs
@@ -1,9 +1,9 @@
 //! `peak`: announced peaks at a running front.
 
 use crate::Exit;
+use crate::admin::{Admin, encoded};
 use clap::{Args, Subcommand};
 use pepperhook_peaks::Announcement;
-use pepperhook_rehearse::wire::Connection;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -95,26 +95,12 @@
 
 /// Asks the front and prints its answer.
 pub async fn peak(admin: SocketAddr, key_file: Option<PathBuf>, verb: Verb) -> Exit {
-    let key = match &key_file {
-        Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display())),
-        None => std::env::var("PEPPERHOOK_ADMIN_KEY")
-            .map_err(|_| "give --key-file or PEPPERHOOK_ADMIN_KEY".into()),
-    };
-    let key = match key {
-        Ok(key) => key.trim().to_owned(),
-        Err(e) => {
-            eprintln!("pepperhook: {e}");
-            return Exit::Usage;
-        }
+    let admin = match Admin::new(admin, key_file) {
+        Ok(admin) => admin,
+        Err(exit) => return exit,
     };
     let json = |a: &Announcement| serde_json::to_vec(a).unwrap_or_default();
-    let path = |name: &str| {
-        let encoded: String = name
-            .bytes()
-            .map(|b| if b.is_ascii_alphanumeric() { char::from(b).to_string() } else { format!("%{b:02X}") })
-            .collect();
-        format!("/peaks/{encoded}")
-    };
+    let path = |name: &str| format!("/peaks/{}", encoded(name));
     let (method, path, body) = match verb {
         Verb::Announce(said) => ("POST", "/peaks".to_owned(), json(&said.announcement())),
         Verb::Amend(said) => {
@@ -124,26 +110,5 @@
         Verb::Cancel { name } => ("DELETE", path(&name), Vec::new()),
         Verb::List => ("GET", "/peaks".to_owned(), Vec::new()),
     };
-    let bearer = format!("Bearer {key}");
-    let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
-    let asked = async {
-        let mut c = Connection::open(admin).await?;
-        c.exchange(method, &path, &headers, &body, Duration::from_secs(5)).await
-    };
-    match asked.await {
-        Ok(reply) if reply.status < 300 => {
-            println!("{}", String::from_utf8_lossy(&reply.body));
-            Exit::Done
-        }
-        Ok(reply) => {
-            let problem: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
-            let say = |name: &str| problem.get(name).and_then(|v| v.as_str()).unwrap_or("").to_owned();
-            eprintln!("pepperhook: {} {}: {}", reply.status, say("title"), say("detail"));
-            Exit::Failed
-        }
-        Err(e) => {
-            eprintln!("pepperhook: no answer from {admin}: {e:?}");
-            Exit::Failed
-        }
-    }
+    admin.print(admin.ask(method, &path, &body, Duration::from_secs(5)).await)
 }
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -41,6 +41,8 @@
         from: SocketAddr,
         /// Number of the front that sealed it.
         sender: u64,
+        /// Its run.
+        run: u64,
         /// The matter; see [`Exchange::carry`].
         lane: u8,
         /// What it says.
@@ -289,9 +291,9 @@
     ) -> Result<(), Reject> {
         let taken = self.open(now_ms, datagram);
         match taken {
-            Ok((sender, message)) => {
+            Ok((sender, run, message)) => {
                 self.counters.taken += 1;
-                self.answer(now_ms, from, sender, message, out);
+                self.answer(now_ms, from, (sender, run), message, out);
                 Ok(())
             }
             Err(why) => {
@@ -313,8 +315,8 @@
         }
     }
 
-    fn open(&mut self, now_ms: u64, datagram: &[u8]) -> Result<(u64, Message), Reject> {
-        let (sender, content) = self.seal.open(datagram)?;
+    fn open(&mut self, now_ms: u64, datagram: &[u8]) -> Result<(u64, u64, Message), Reject> {
+        let (sender, run, content) = self.seal.open(datagram)?;
         if self.taken.len() > 2 * 1_024 {
             self.taken.clear();
         }
@@ -322,10 +324,17 @@
         if !bucket.take(now_ms, TAKEN_RATE, TAKEN_RATE) {
             return Err(Reject::Rate);
         }
-        Ok((sender, postcard::from_bytes(content).map_err(|_| Reject::Content)?))
+        Ok((sender, run, postcard::from_bytes(content).map_err(|_| Reject::Content)?))
     }
 
-    fn answer(&mut self, now_ms: u64, from: SocketAddr, sender: u64, message: Message, out: &mut Vec<Out>) {
+    fn answer(
+        &mut self,
+        now_ms: u64,
+        from: SocketAddr,
+        (sender, run): (u64, u64),
+        message: Message,
+        out: &mut Vec<Out>,
+    ) {
         match message {
             Message::Digest { from: low, to: high, entries } => {
                 let theirs: BTreeMap<Id, Version> = entries.into_iter().take(DIGEST).collect();
@@ -367,7 +376,7 @@
                     }
                 }
             }
-            Message::Lane(lane, content) => out.push(Out::Heard { from, sender, lane, content }),
+            Message::Lane(lane, content) => out.push(Out::Heard { from, sender, run, lane, content }),
             Message::Behind(known) => {
                 if known > self.settings.run && self.raises.take(now_ms, RAISES / 60.0, RAISES) {
                     self.settings.run = known.saturating_add(1);
--- a/crates/exchange/src/seal.rs
+++ b/crates/exchange/src/seal.rs
@@ -136,11 +136,11 @@
         out
     }
 
-    /// Opens a datagram: its sender and content. The MAC is checked before anything is believed.
+    /// Opens a datagram: its sender, the sender's run and the content. The MAC is checked before anything is believed.
     ///
     /// # Errors
     /// Why it is thrown away.
-    pub fn open<'a>(&mut self, datagram: &'a [u8]) -> Result<(u64, &'a [u8]), Reject> {
+    pub fn open<'a>(&mut self, datagram: &'a [u8]) -> Result<(u64, u64, &'a [u8]), Reject> {
         if !(HEAD + TAG..=MOST_DATAGRAM).contains(&datagram.len()) || datagram[..4] != MAGIC {
             return Err(Reject::Form);
         }
@@ -169,7 +169,7 @@
                 self.senders.insert(sender, Window { run, highest: counter, seen: 1 });
             }
         }
-        Ok((sender, &sealed[HEAD..]))
+        Ok((sender, run, &sealed[HEAD..]))
     }
 }
 
@@ -193,7 +193,7 @@
             changed[i] ^= 1;
             assert!(b.open(&changed).is_err(), "byte {i} changed");
         }
-        assert_eq!(b.open(&d), Ok((1, &b"hello"[..])));
+        assert_eq!(b.open(&d), Ok((1, 10, &b"hello"[..])));
         assert_eq!(Seal::new(Keys::new("x", None), 3, 1).open(&d), Err(Reject::Key));
         let own = a.seal(b"x");
         assert_eq!(a.open(&own), Err(Reject::Own));
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -1,5 +1,6 @@
 //! One front's part.
 
+use crate::agreed::{Agreed, AgreedNote, AgreedSettings, AgreedShown, Force, Means, Said};
 use crate::copies::Copies;
 use crate::readings::{Reading, Readings, SPACE};
 use pepperhook_duties::{Claim, Counters, Duties, Duty, DutyRow, FleetClock, State, Target};
@@ -15,6 +16,8 @@
 const CLAIMS: u8 = 2;
 /// Lane of copies.
 const COPIES: u8 = 3;
+/// Lane of what the fleet agrees on.
+const AGREEMENT: u8 = 4;
 /// The kind of duty that reads a node's load: the first of the settings.
 pub const READS: u8 = 0;
 /// Bytes of the clock before a message of membership.
@@ -39,6 +42,8 @@
     pub duties: Option<pepperhook_duties::Settings>,
     /// Copies; they need a view.
     pub copies: Option<pepperhook_replica::Settings>,
+    /// What the fleet agrees on; it needs a view.
+    pub agreed: Option<AgreedSettings>,
 }
 
 /// What membership is told.
@@ -63,6 +68,8 @@
     View(Change),
     /// This front's run was raised, since the others knew a later one.
     Run(u64),
+    /// Of what the fleet agrees on.
+    Agreed(AgreedNote),
 }
 
 /// What comes out.
@@ -84,6 +91,14 @@
     Lost(Vec<u64>),
     /// An adopted key had ended already.
     Ended(u64),
+    /// Write this to the store of what was promised, in order; [`Fleet::written`] takes the disk's answer.
+    Write(u64, Vec<pepperhook_agreement::Op>),
+    /// Put that store away and make a new one; [`Fleet::remade`] takes it.
+    Remake,
+    /// A policy that the fleet agreed on comes into force, before anything that follows is sent.
+    InForce(Force),
+    /// What came of an operator's wish of this key.
+    Told(u128, pepperhook_policy::Answer),
     /// For the log.
     Note(Note),
 }
@@ -111,6 +126,7 @@
     membership: Option<Membership>,
     duties: Option<Duties>,
     copies: Option<Copies>,
+    agreed: Option<Agreed>,
     clock: FleetClock,
     /// The offset that the duties go by.
     offset_ms: i64,
@@ -157,6 +173,7 @@
             exchange: Exchange::new(settings.exchange, kept, now_ms),
             duties: settings.duties.filter(|_| membership.is_some()).map(|d| Duties::new(d, now_ms)),
             copies: settings.copies.filter(|_| membership.is_some()).map(|c| Copies::new(c, now_ms)),
+            agreed: settings.agreed.filter(|_| membership.is_some()).map(|a| Agreed::new(a, now_ms)),
             membership,
             clock: FleetClock::default(),
             offset_ms: 0,
@@ -227,6 +244,7 @@
         self.set_view(now_ms);
         let said = self.copies.as_mut().map_or_else(Vec::new, |c| c.tick(now_ms));
         self.copied(said, out);
+        self.with_agreed(out, |a, said| a.tick(now_ms, said));
         let fleet_ms = self.fleet_ms(now_ms);
         let mut work = Vec::new();
         if let Some(d) = self.duties.as_mut().filter(|_| now_ms >= self.listens_ms) {
@@ -266,6 +284,58 @@
         self.copies.as_mut().map_or(Ok(()), |c| c.keep(now_ms, key, body))
     }
 
+    /// What this front's engine says of policies; before it is set, a front can go by any.
+    pub fn set_means(&mut self, means: Box<dyn Means>) {
+        if let Some(a) = &mut self.agreed {
+            a.set_means(means);
+        }
+    }
+
+    /// The disk's answer to [`Out::Write`].
+    pub fn written(&mut self, now_ms: u64, batch: u64, ok: bool, out: &mut Vec<Out>) {
+        let now_ms = self.steady(now_ms);
+        self.with_agreed(out, |a, said| a.written(now_ms, batch, ok, said));
+    }
+
+    /// The store that [`Out::Remake`] asked for.
+    pub fn remade(&mut self, kept: pepperhook_agreement::Kept) {
+        if let Some(a) = &mut self.agreed {
+            a.remade(kept);
+        }
+    }
+
+    /// An operator asks for another policy; what comes of it is [`Out::Told`] under its key.
+    pub fn ask_policy(&mut self, now_ms: u64, ask: pepperhook_policy::Ask, out: &mut Vec<Out>) {
+        let now_ms = self.steady(now_ms);
+        self.with_agreed(out, |a, said| a.ask(now_ms, ask, said));
+    }
+
+    /// An operator asks for another set of voters: one that comes, one that goes, or both. Returns those that are asked for.
+    ///
+    /// # Errors
+    /// Why it cannot be asked for.
+    pub fn ask_voters(
+        &mut self,
+        now_ms: u64,
+        key: u128,
+        change: (Option<u64>, Option<u64>),
+        out: &mut Vec<Out>,
+    ) -> Result<Vec<u64>, String> {
+        let now_ms = self.steady(now_ms);
+        let mut asked = Err("this front takes no part in an agreement".to_owned());
+        self.with_agreed(out, |a, said| {
+            asked = a.voters(now_ms, pepperhook_agreement::Key(key), change, said)
+        });
+        asked
+    }
+
+    /// This front cannot know what the fleet agreed on, and must take no set-ups.
+    #[must_use]
+    pub fn fenced(&self, now_ms: u64) -> bool {
+        let steady = now_ms.saturating_add(self.shift_ms);
+        self.agreed.as_ref().is_some_and(|a| a.fenced(steady))
+    }
+
     /// Duties of a kind are done on these from now on.
     pub fn set_targets(&mut self, now_ms: u64, kind: u8, targets: &[Target], out: &mut Vec<Out>) {
         let fleet_ms = {
@@ -339,6 +409,9 @@
                 Said::Send(to, datagram) => out.push(Out::Send(to, datagram)),
                 Said::Changed(record) if record.id.space == SPACE => self.read(now_ms, &record, out),
                 Said::Changed(record) => out.push(Out::Changed(record)),
+                Said::Heard { sender, run, lane: AGREEMENT, content, .. } => {
+                    self.with_agreed(out, |a, said| a.heard(now_ms, sender, run, &content, said));
+                }
                 Said::Heard { sender, lane, content, .. } => {
                     self.heard(now_ms, sender, lane, &content, out);
                 }
@@ -347,6 +420,9 @@
                     if let Some(c) = &mut self.copies {
                         c.raise(run);
                     }
+                    if let Some(a) = &mut self.agreed {
+                        a.raise(run);
+                    }
                     let mut said = Vec::new();
                     if let Some(m) = &mut self.membership {
                         m.raise(run, &mut said);
@@ -408,6 +484,33 @@
         }
     }
 
+    /// Calls the agreement's part and hands on what it says.
+    fn with_agreed(&mut self, out: &mut Vec<Out>, call: impl FnOnce(&mut Agreed, &mut Vec<Said>)) {
+        let mut said = Vec::new();
+        let Some(agreed) = &mut self.agreed else { return };
+        call(agreed, &mut said);
+        if said.is_empty() {
+            return;
+        }
+        let view = self.view();
+        for o in said {
+            match o {
+                Said::Send(to, message) => {
+                    if let Some(at) = view.get(&to).map(|m| m.address) {
+                        let mut sent = Vec::new();
+                        self.exchange.carry(at, AGREEMENT, &message, &mut sent);
+                        self.exchanged(self.last_ms, sent, out);
+                    }
+                }
+                Said::Write(batch, ops) => out.push(Out::Write(batch, ops)),
+                Said::Remake => out.push(Out::Remake),
+                Said::InForce(force) => out.push(Out::InForce(force)),
+                Said::Told(key, answer) => out.push(Out::Told(key, answer)),
+                Said::Note(note) => out.push(Out::Note(Note::Agreed(note))),
+            }
+        }
+    }
+
     fn viewed(&mut self, now_ms: u64, said: Vec<pepperhook_membership::Out>, out: &mut Vec<Out>) {
         use pepperhook_membership::Out as Said;
         for o in said {
@@ -552,6 +655,25 @@
         self.copies.as_ref().map(|c| (c.rows(steady), c.counters()))
     }
 
+    /// What the fleet agrees on; `None` where it does not.
+    #[must_use]
+    pub fn agreed(&self, now_ms: u64) -> Option<AgreedShown> {
+        let steady = now_ms.saturating_add(self.shift_ms);
+        self.agreed.as_ref().map(|a| a.shown(steady))
+    }
+
+    /// The policy that this front goes by, as it was agreed on: version, step, document.
+    #[must_use]
+    pub fn policy(&self) -> Option<(u64, &'static str, &pepperhook_policy::Policy)> {
+        self.agreed.as_ref().and_then(Agreed::in_force)
+    }
+
+    /// The figures in which a file and the policy that stands differ.
+    #[must_use]
+    pub fn differs(&self, file: &pepperhook_settings::Config) -> Vec<pepperhook_policy::Difference> {
+        self.agreed.as_ref().map_or_else(Vec::new, |a| a.governor().differs(file))
+    }
+
     /// What is added to this front's clock to get the fleet's, milliseconds.
     #[must_use]
     pub fn offset_ms(&self) -> i64 {
--- a/crates/front/src/console.rs
+++ b/crates/front/src/console.rs
@@ -1,5 +1,6 @@
 //! The operators' page, on a listener of its own: authenticated by the admin key, loopback by default.
 
+use crate::console_policy;
 use crate::http::{Events, Out, Phase, accept, body, problem, response, set};
 use crate::shell::Shell;
 use crate::spread::{NotTaken, announce};
@@ -57,6 +58,7 @@
         "/console/events" if reads => events(shell),
         "/peaks" if reads => response(200, "application/json", peaks(shell)),
         p if p == "/peaks" || p.starts_with("/peaks/") => change(shell, request).await,
+        "/policy" | "/voters" => console_policy::answer(shell, request).await,
         "/console" | "/state" | "/console/events" => {
             problem(&Problem::new(405, "method", "Method not allowed", "GET is allowed here"))
         }
@@ -64,7 +66,7 @@
             404,
             "path",
             "Not found",
-            "/console, /console/events, /state and /peaks are served",
+            "/console, /console/events, /state, /peaks, /policy and /voters are served",
         )),
     };
     set(&mut r, "cache-control", "no-store");
@@ -90,16 +92,17 @@
     serde_json::json!({"announced": shell.spread.announcements(), "holds": holds}).to_string()
 }
 
+/// A browser sends the cookie wherever a page bids it; only who shows the key itself may change something.
+pub fn only_by_key(request: &Request<Incoming>) -> Option<Response<Out>> {
+    let shown = request.headers().contains_key(AUTHORIZATION);
+    let detail = "changes need the key as a bearer token";
+    (!shown).then(|| problem(&Problem::new(401, "admin-key", "Not authorized", detail)))
+}
+
 /// `POST /peaks` announces, `PUT /peaks/{name}` amends, `DELETE /peaks/{name}` calls off.
 async fn change(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Out> {
-    // A browser sends the cookie wherever a page bids it; only who shows the key itself may change something.
-    if !request.headers().contains_key(AUTHORIZATION) {
-        return problem(&Problem::new(
-            401,
-            "admin-key",
-            "Not authorized",
-            "changes need the key as a bearer token",
-        ));
+    if let Some(no) = only_by_key(&request) {
+        return no;
     }
     let method = request.method().clone();
     let name = request.uri().path().strip_prefix("/peaks/").map(str::to_owned);
--- /dev/null
+++ b/crates/front/src/console_policy.rs
@@ -0,0 +1,117 @@
+//! What operators ask of the agreement, on the console's listener: `GET /policy` shows it, `POST /policy` asks for another,
+//! `POST /voters` for other voters.
+
+use crate::agreed;
+use crate::console::only_by_key;
+use crate::http::{Out, body, problem, response};
+use crate::shell::Shell;
+use crate::spread::with;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use pepperhook_policy::{Answer, Ask};
+use pepperhook_settings::name_hash;
+use pepperhook_signalling::Problem;
+use serde_json::json;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Arguments of the query.
+type Query = HashMap<String, String>;
+
+pub async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Out> {
+    if shell.config.agreement.is_none() {
+        let detail = "this front has no section agreement";
+        return problem(&Problem::new(404, "agreement", "Nothing is agreed on", detail));
+    }
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    if method == Method::GET && path == "/policy" {
+        let shown = agreed::shown(shell).unwrap_or_default();
+        return response(200, "application/json", shown.to_string());
+    }
+    if method != Method::POST {
+        let detail = "GET and POST /policy, POST /voters";
+        return problem(&Problem::new(405, "method", "Method not allowed", detail));
+    }
+    if let Some(no) = only_by_key(&request) {
+        return no;
+    }
+    let decoded = |t: &str| percent_encoding::percent_decode_str(t).decode_utf8_lossy().into_owned();
+    let query = request.uri().query().unwrap_or("").split('&').filter_map(|p| p.split_once('='));
+    let query: Query = query.map(|(k, v)| (k.to_owned(), decoded(v))).collect();
+    let bytes = match body(request.into_body(), &shell.config.limits).await {
+        Ok(bytes) => bytes,
+        Err(p) => return problem(&p),
+    };
+    let done = match path.as_str() {
+        "/voters" => voters(shell, &query),
+        _ => change(shell, &query, &bytes).await,
+    };
+    done.unwrap_or_else(|p| problem(&p))
+}
+
+fn wrong(detail: &str) -> Problem {
+    Problem::new(422, "query", "Not such a request", detail)
+}
+
+/// The key that names a call: who sends it again sends the same.
+fn key(query: &Query) -> Result<u128, Problem> {
+    match query.get("key") {
+        Some(text) => u128::from_str_radix(text, 16).map_err(|_| wrong("'key' is at most 32 hex digits")),
+        None => Ok(rand::random()),
+    }
+}
+
+fn yes(query: &Query, name: &str) -> bool {
+    query.get(name).is_some_and(|v| v == "yes")
+}
+
+/// Asks for a policy: its text is the body, the query has `against`, `by`, and perhaps `key`, `dry-run` and `wait`.
+async fn change(shell: &Rc<Shell>, query: &Query, bytes: &[u8]) -> Result<Response<Out>, Problem> {
+    let against = query.get("against").and_then(|v| v.parse().ok());
+    let ask = Ask {
+        key: key(query)?,
+        name: query.get("by").cloned().ok_or_else(|| wrong("'by' names who asks"))?,
+        against: against.ok_or_else(|| wrong("'against' is the version that was looked at"))?,
+        text: String::from_utf8(bytes.to_vec()).map_err(|_| wrong("a policy is UTF-8 text"))?,
+        dry_run: yes(query, "dry-run"),
+    };
+    let key = ask.key;
+    let answer = agreed::ask(shell, ask, yes(query, "wait")).await;
+    let answer = answer.ok_or_else(|| Problem::new(503, "busy", "Busy", "too many wait for an answer"))?;
+    let said = answer.to_string();
+    let done = |status: u16, name: &str| {
+        let body = json!({"answer": name, "key": format!("{key:032x}"), "detail": said});
+        Ok(response(status, "application/json", body.to_string()))
+    };
+    let not = |status: u16, name: &str, title: &str| {
+        let p = Problem::new(status, name, title, said.clone());
+        Err(p.with("key", format!("{key:032x}").into()))
+    };
+    match &answer {
+        Answer::Accepted { .. } => done(202, "accepted"),
+        Answer::Stands { .. } => done(200, "stands"),
+        Answer::Dry { .. } => done(200, "dry-run"),
+        Answer::Same { .. } => done(200, "same"),
+        Answer::Undone(_) => not(409, "undone", "Undone"),
+        Answer::Conflict { .. } => not(409, "conflict", "Conflict"),
+        Answer::UnderWay { .. } => not(409, "under-way", "A change is under way"),
+        Answer::Refused(_) => not(422, "policy", "Not a policy"),
+        Answer::Unfit(_) => not(422, "unfit", "It cannot be gone by"),
+        Answer::NotAgreed => not(503, "not-agreed", "No policy is agreed on"),
+        Answer::Busy => not(503, "busy", "Busy"),
+        Answer::Unknown => not(504, "unknown", "Not known"),
+    }
+}
+
+/// Asks for other voters: `add`, `remove` or both name fronts. Who votes then is shown by `GET /policy`.
+fn voters(shell: &Rc<Shell>, query: &Query) -> Result<Response<Out>, Problem> {
+    let front = |name: &str| query.get(name).map(|n| name_hash(n));
+    let change = (front("add"), front("remove"));
+    if change == (None, None) {
+        return Err(wrong("'add' or 'remove' names a front"));
+    }
+    let key = key(query)?;
+    let asked = with(shell, |fleet, now_ms, out| fleet.ask_voters(now_ms, key, change, out));
+    let fronts = asked.map_err(|why| Problem::new(409, "voters", "Not these voters", why))?;
+    Ok(response(202, "application/json", json!({"key": format!("{key:032x}"), "asked": fronts}).to_string()))
+}
--- a/crates/front/src/engine/view.rs
+++ b/crates/front/src/engine/view.rs
@@ -70,6 +70,9 @@
     pub nodes: Vec<NodeRow>,
     /// Announced peaks and what is held for them.
     pub holds: Vec<HoldRow>,
+    /// What the fleet agrees on, where it does.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub agreement: Option<pepperhook_fleet::AgreedShown>,
     /// Copies on other fronts and of other fronts, where there are any.
     pub replica: Option<ReplicaShown>,
     /// Sessions found at nodes that nobody held, deleted there.
@@ -195,6 +198,7 @@
                 .collect(),
             nodes,
             holds: self.hold_rows(now),
+            agreement: None,
             replica: None,
             strays: t.strays,
             missing: t.missing,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,11 +4,14 @@
 //! - `shell`: carries out what the engine says, on tokio's current-thread runtime.
 //! - `upstream`: speaks WHIP and WHEP to the nodes. `listener`: speaks them to viewers and publishers.
 //! - `console`: one page for operators, and the interface for announced peaks.
+//! - `agreed`: what the fleet agrees on: a voter's store, policies into the engine, the fence.
 //! - `spread`: announced peaks between fronts and over restarts.
 //!
 //! Arrows go one way: faces and shell know the engine, the engine knows neither.
 
+mod agreed;
 mod console;
+mod console_policy;
 pub mod engine;
 mod http;
 mod listener;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -87,6 +87,7 @@
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tell);
         let mut waiting = Waiting { shell: self.clone(), ticket, answered: false };
+        crate::agreed::fence(self);
         self.drive(input(ticket));
         let answer = told.await.unwrap_or(Answer::Failed);
         waiting.answered = true;
@@ -364,6 +365,7 @@
             spawn_local(listener::serve(shell.clone(), listener, seen.clone())),
             spawn_local(console::serve(shell.clone(), admin, seen)),
         ];
+        tasks.extend(spread::agree(&shell));
         tasks.extend(socket.map(|s| spawn_local(spread::run(shell.clone(), s))));
         tasks.extend(keeper.map(|k| spawn_local(shell.clone().watch(k))));
         info!(event = "serving", address = %address, admin = %admin_address, "the front serves");
--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -1,13 +1,14 @@
 //! This front among the others, on a UDP socket: announced peaks, who is there, and duties that are shared. It
 //! carries out what [`Fleet`] says; it decides nothing.
 
+use crate::agreed::{self, Agreed, Disk, EngineMeans, Job};
 use crate::engine::types::{Copied, Input};
 use crate::engine::{DutyShown, ReplicaShown, Snapshot, life};
 use crate::shell::Shell;
 use pepperhook::{ServerId, ServerState};
 use pepperhook_duties::{Duty, Kind, Target, TargetState};
 use pepperhook_exchange::{Id, Keys, Merge, Record, Store};
-use pepperhook_fleet::{Fleet, Note, Out, READS, Settings, View};
+use pepperhook_fleet::{AgreedShown, Fleet, Note, Out, READS, Settings, View};
 use pepperhook_membership::Change;
 use pepperhook_peaks::{Announcement, Refused};
 use pepperhook_replica::StreamRow;
@@ -49,6 +50,10 @@
     running: RefCell<HashMap<(Duty, u64), JoinHandle<()>>>,
     /// Sessions that this front goes on with after their front had died, by their key.
     adopted: RefCell<BTreeMap<u64, Copied>>,
+    /// What the fleet agrees on, as this front carries it out.
+    pub agreed: Agreed,
+    /// The voter's disk and its queue, until they run.
+    disk: RefCell<Option<(Disk, tokio::sync::mpsc::Receiver<Job>)>>,
     store: Option<Arc<Store>>,
     socket: Option<Arc<UdpSocket>>,
     loss: f64,
@@ -126,11 +131,18 @@
             period_ms: r.look / 1_000_000,
             bytes_per_s: r.rate,
         });
-        let fleet = RefCell::new(Fleet::new(Settings { exchange, view, duties, copies }, kept, now_ms));
+        let (agreed, disk) = agreed::prepare(config, run)?.unzip();
+        let disk = disk.flatten();
+        let (carried, jobs) = Agreed::new(disk.as_ref());
+        let disk = RefCell::new(disk.zip(jobs));
+        let settings = Settings { exchange, view, duties, copies, agreed };
+        let fleet = RefCell::new(Fleet::new(settings, kept, now_ms));
         let loss = x.map_or(0.0, |x| x.loss);
         let (running, checking, warned) = (RefCell::default(), RefCell::default(), Cell::new(0));
         let adopted = RefCell::default();
-        let new = Self { fleet, running, checking, adopted, store, socket: socket.clone(), loss, warned };
+        let (agreed, socket_) = (carried, socket.clone());
+        let new =
+            Self { fleet, running, checking, adopted, agreed, disk, store, socket: socket_, loss, warned };
         Ok((new, socket))
     }
 
@@ -142,6 +154,7 @@
         on.duty_counters = fleet.duty_counters().cloned();
         on.clock_offset_ms = fleet.offset_ms();
         on.replica = self.show_copies(now_ms);
+        on.agreement = fleet.agreed(now_ms);
         let names: HashMap<u64, &str> = on
             .nodes
             .iter()
@@ -154,6 +167,24 @@
         on.duties = fleet.duty_rows(now_ms).into_iter().map(shown).collect();
     }
 
+    /// This front cannot know what the fleet agreed on.
+    pub fn fenced(&self, now_ms: u64) -> bool {
+        self.fleet.borrow().fenced(now_ms)
+    }
+
+    /// For operators: the agreement, the policy in force (version, step, text) and where the file differs from it.
+    #[expect(clippy::type_complexity, reason = "shown as it is")]
+    pub fn policy(
+        &self,
+        now_ms: u64,
+        config: &Config,
+    ) -> Option<(AgreedShown, Option<(u64, &'static str, String)>, Vec<String>)> {
+        let fleet = self.fleet.borrow();
+        let force = fleet.policy().map(|(version, step, policy)| (version, step, policy.text().to_owned()));
+        let differs = fleet.differs(config).iter().map(ToString::to_string).collect();
+        Some((fleet.agreed(now_ms)?, force, differs))
+    }
+
     /// Copies for the console.
     fn show_copies(&self, now_ms: u64) -> Option<ReplicaShown> {
         let fleet = self.fleet.borrow();
@@ -323,7 +354,7 @@
 }
 
 /// Calls the fleet's part and carries out what it says.
-fn with<R>(shell: &Rc<Shell>, call: impl FnOnce(&mut Fleet, u64, &mut Vec<Out>) -> R) -> R {
+pub fn with<R>(shell: &Rc<Shell>, call: impl FnOnce(&mut Fleet, u64, &mut Vec<Out>) -> R) -> R {
     let mut out = Vec::new();
     let r = call(&mut shell.spread.fleet.borrow_mut(), shell.clock.now() / 1_000_000, &mut out);
     for o in out {
@@ -375,12 +406,36 @@
             Out::Ended(key) => {
                 shell.spread.adopted.borrow_mut().remove(&key);
             }
+            Out::Write(batch, ops) => {
+                if !shell.spread.agreed.hand(Job::Write(batch, ops)) {
+                    let shell = shell.clone();
+                    spawn_local(async move {
+                        with(&shell, |fleet, now_ms, out| fleet.written(now_ms, batch, false, out));
+                    });
+                }
+            }
+            Out::Remake => {
+                shell.spread.agreed.hand(Job::Remake);
+            }
+            Out::InForce(force) => agreed::in_force(shell, force),
+            Out::Told(key, answer) => shell.spread.agreed.told(key, &answer),
             Out::Note(note) => log(&note),
         }
     }
+    agreed::fence(shell);
     r
 }
 
+/// What this front's engine says of policies, and the task that writes what a voter promises. Nothing where settings do
+/// not name an agreement.
+pub fn agree(shell: &Rc<Shell>) -> Option<JoinHandle<()>> {
+    shell.config.agreement.as_ref()?;
+    shell.spread.fleet.borrow_mut().set_means(Box::new(EngineMeans(Rc::downgrade(shell))));
+    agreed::fence(shell);
+    let (disk, jobs) = shell.spread.disk.borrow_mut().take()?;
+    Some(spawn_local(agreed::write(shell.clone(), disk, jobs)))
+}
+
 /// This front goes on with sessions of one that died.
 fn adopted(shell: &Rc<Shell>, keys: Vec<(u64, Vec<u8>)>) {
     let mut held = shell.spread.adopted.borrow_mut();
@@ -427,6 +482,7 @@
         Note::View(Change::Rejoined(m)) => {
             warn!(event = "member-rejoined", renewed = m.renewed, "the others had given this front up");
         }
+        Note::Agreed(note) => agreed::log(note),
         Note::Run(run) => {
             warn!(
                 event = "run-raised",
--- a/crates/rehearse/src/duties/net.rs
+++ b/crates/rehearse/src/duties/net.rs
@@ -345,8 +345,9 @@
                     }
                 }
                 Out::Note(note) => self.notes.push((self.now_ms, i, note)),
-                // These fronts have no copies.
+                // These fronts have no copies, and agree on nothing.
                 Out::Adopted(_) | Out::Lost(_) | Out::Ended(_) => {}
+                Out::Write(..) | Out::Remake | Out::InForce(_) | Out::Told(..) => {}
                 Out::Changed(_) | Out::Seen(..) => {}
             }
         }
@@ -417,6 +418,7 @@
                 suspicion_ms: o.suspicion_ms,
             }),
             copies: None,
+            agreed: None,
             duties: Some(pepperhook_duties::Settings {
                 me: number(i),
                 weight: ORDINARY,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -162,6 +162,19 @@
     pub rate: u64,
 }
 
+/// What the fleet agrees on. Only where there is an exchange.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgreementSettings {
+    /// Names of the fronts that vote first; later voters are agreed on.
+    pub voters: Vec<String>,
+    /// A front knows for so long that nothing newer takes effect without it; and a change waits so long for one that is cut off.
+    pub hold: Time,
+    /// Time between two questions to the voters.
+    pub look: Time,
+    /// A front that has never heard of the voters serves by its file, instead of refusing: for the first roll-out.
+    pub serve_unknown: bool,
+}
+
 impl std::fmt::Debug for ExchangeSettings {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("ExchangeSettings")
@@ -225,6 +238,8 @@
     pub duties: Option<DutySettings>,
     /// Copies on other fronts.
     pub replica: Option<ReplicaSettings>,
+    /// What the fleet agrees on.
+    pub agreement: Option<AgreementSettings>,
     /// Bounds on announced peaks.
     pub holds: HoldSettings,
     /// Names that the list of nodes may use.
@@ -446,6 +461,47 @@
     ReplicaSettings { copies, guards, lease, look, rate }
 }
 
+/// Time that a hold has beside the longest patience, at least: some questions to the voters fit into it.
+const HOLD_BESIDE: Time = SECOND;
+
+fn agreement(block: &Block, patience: Time, faults: &mut Vec<Fault>) -> AgreementSettings {
+    let mut f = Fields::new(block);
+    let mut voters: Vec<String> = Vec::new();
+    for word in f.lines("voter", 1, 1).into_iter().map(|l| &l.values[0]) {
+        if voters.contains(&word.text) {
+            f.fault(word.place, "this voter is given twice");
+        }
+        voters.push(word.text.clone());
+    }
+    if voters.len() % 2 == 0 || voters.len() > 7 {
+        f.fault(block.place, "expected: 1, 3, 5 or 7 lines such as: voter front-1");
+    }
+    let least = patience.saturating_add(HOLD_BESIDE);
+    let hold = f.time("hold").unwrap_or(patience.saturating_add(4 * SECOND));
+    if hold < least {
+        f.fault(
+            block.place,
+            format!("expected: a hold of {} ms or more, the longest patience and a second", least / MS),
+        );
+    }
+    let look = f.time("look").unwrap_or_else(|| (hold.saturating_sub(patience) / 8).max(100 * MS));
+    if look < 50 * MS || look > hold.saturating_sub(patience) / 2 {
+        f.fault(
+            block.place,
+            "expected: a look between 50ms and half of what the hold has beside the longest patience",
+        );
+    }
+    let serve_unknown = f
+        .with("unknown", "what a front does that never heard of the voters, refuse or serve", |t| match t {
+            "refuse" => Some(false),
+            "serve" => Some(true),
+            _ => None,
+        })
+        .unwrap_or(false);
+    faults.extend(f.end());
+    AgreementSettings { voters, hold, look, serve_unknown }
+}
+
 fn named<'a>(blocks: &'a [Block], kind: &'a str, faults: &mut Vec<Fault>) -> Vec<(String, &'a Block)> {
     let mut out: Vec<(String, &Block)> = Vec::new();
     for block in blocks.iter().filter(|b| b.kind == kind) {
@@ -463,9 +519,20 @@
 
 fn build(loader: Loader) -> Result<Config, Faults> {
     let Loader { source, blocks, mut faults, .. } = loader;
-    const KINDS: [&str; 12] = [
-        "", "class", "ladder", "kind", "tenant", "title", "token", "rules", "prices", "exchange", "duties",
+    const KINDS: [&str; 13] = [
+        "",
+        "class",
+        "ladder",
+        "kind",
+        "tenant",
+        "title",
+        "token",
+        "rules",
+        "prices",
+        "exchange",
+        "duties",
         "replica",
+        "agreement",
     ];
     for block in blocks.iter().filter(|b| !KINDS.contains(&b.kind.as_str())) {
         let what = format!("unknown section '{}'; expected one of: {}", block.kind, KINDS[1..].join(", "));
@@ -519,6 +586,13 @@
         let what = "copies are kept by other fronts: they need a section exchange".into();
         faults.push(Fault { place: block.place, what });
     }
+    let agreement_block = blocks.iter().find(|b| b.kind == "agreement");
+    let patience = classes.iter().map(|c| c.patience).max().unwrap_or(0);
+    let agreement = agreement_block.map(|b| agreement(b, patience, &mut faults));
+    if let Some(block) = agreement_block.filter(|_| exchange.is_none()) {
+        let what = "fronts agree over the exchange: they need a section exchange".into();
+        faults.push(Fault { place: block.place, what });
+    }
 
     let zones: Vec<String> =
         f.lines("zones", 1, 64).iter().flat_map(|l| l.values.iter().map(|w| w.text.clone())).collect();
@@ -608,6 +682,7 @@
         },
         duties,
         replica,
+        agreement,
         classes,
         tenants,
         titles,
@@ -629,6 +704,11 @@
             let what = format!("{} copies need more fronts than the {fronts} of 'fronts'", r.copies);
             faults.push(Fault { place: block.place, what });
         }
+        let votes = config.agreement.as_ref().is_some_and(|a| a.voters.contains(&config.name));
+        if let Some(block) = agreement_block.filter(|_| votes && config.state_dir.is_none()) {
+            let what = "this front votes: it needs a 'state-dir' for what it promised".into();
+            faults.push(Fault { place: block.place, what });
+        }
         if config.limits.waiting == 0 || config.limits.connections == 0 || config.limits.sessions == 0 {
             faults.push(Fault {
                 place: first,
