Front's engine: agreed policies come into force under way, and a front can be fenced

Where a fleet agrees on policies, a front takes one while it serves, and one that cannot know what was agreed must begin nothing. Input::Policy: each request is decided by the version in force at its begin, which answer, log line and /state name; classes and tenants are matched by name and keep their indices, one that is lacking is closed (409 class-closed). Engine::can_go_by tells beforehand whether to object, Engine::decides_by from when nothing goes by an earlier version. Input::Fenced: a POST that would begin a set-up is answered 503 (problem fenced, Retry-After: 1); all that was taken goes on. By default neither comes and nothing differs.

Unit tests, and the random histories with policies and fences among their steps.

--- a/crates/front/benches/engine.rs
+++ b/crates/front/benches/engine.rs
@@ -96,7 +96,7 @@
             &mut self.effects,
         );
         self.effects.iter().find_map(|e| match e {
-            Effect::Answer(_, Answer::Created { resource, .. }) => Some(resource.clone()),
+            Effect::Answer(_, Answer::Created { resource, .. }, _) => Some(resource.clone()),
             _ => None,
         })
     }
--- a/crates/front/src/engine/claims.rs
+++ b/crates/front/src/engine/claims.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Is this a copy of the request that holds the key?
+    #[must_use]
+    pub fn knows(&self, key: ViewerKey, offer: u64) -> bool {
+        self.held.get(&key).is_some_and(|c| c.offer == offer)
+    }
+
     /// A session begins under the key.
     pub fn begin(&mut self, key: ViewerKey, session: SessionId, offer: u64) {
         self.held.insert(key, Claim { session, offer, stand: Stand::Waiting, waiting: 1 });
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod claims;
 mod peaks;
+mod policy;
 mod readings;
 mod reconcile;
 mod tally;
@@ -27,6 +28,8 @@
 use pepperhook_peaks::Holds;
 use pepperhook_settings::Config;
 use pepperhook_signalling::{Direction, EVENT_MOVE, LoadReport, Offer};
+pub use policy::PolicyShown;
+use policy::{Policies, Promise};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 pub use readings::life;
@@ -59,6 +62,7 @@
     attempts: u32,
     rung: u8,
     taken: Time,
+    promise: Promise,
     /// The attempt that is out.
     out: Option<AttemptId>,
     playing: Option<Playing>,
@@ -89,6 +93,8 @@
     ticket: Ticket,
     ask: Ask,
     taken: Time,
+    /// The viewer's, by the policy of then.
+    patience: Time,
 }
 
 /// A node as the front knows it.
@@ -123,6 +129,7 @@
     /// A timer for the next plan is set.
     planned: bool,
     returning: Returning,
+    policies: Policies,
     timers: Timers<Wake>,
     pending: VecDeque<Event>,
     stopping: bool,
@@ -158,6 +165,7 @@
             holds: peaks::holds(&config),
             planned: false,
             returning: Returning::new(RETURNING_KEPT),
+            policies: Policies::default(),
             timers: Timers::default(),
             pending: VecDeque::new(),
             stopping: false,
@@ -193,6 +201,10 @@
             Input::Sessions(node, listed) => self.reconcile(node, &listed, out),
             Input::Probed(node, load) => self.probed(now, node, load),
             Input::Seen(node, life, age, load) => self.seen(now, node, life, age, &load),
+            Input::Policy { version, settings, classes, tenants } => {
+                self.take_policy(now, version, *settings, (&classes, &tenants), out);
+            }
+            Input::Fenced(fenced) => self.fence(fenced, out),
         }
         self.run(now, out);
     }
@@ -298,26 +310,29 @@
         if let Some(why) = refusal {
             return self.answer(ticket, Answer::Refused(advice, why), out);
         }
-        if let Some(answer) = self.at_odds_with_publisher(&ask) {
+        let patience = self.patience(ask.class);
+        if let Some(answer) = self.bars(&ask).or_else(|| self.at_odds_with_publisher(&ask)) {
             return self.answer(ticket, answer, out);
         }
         match self.claims.ask(ask.viewer, ask.offer_hash) {
-            Verdict::Begin => self.begin(now, now, ticket, ask, out),
+            Verdict::Begin => self.begin(now, now, ticket, ask, patience, out),
             Verdict::Join(id) => {
                 if let Some(live) = self.live.get_mut(&id) {
                     live.tickets.push(ticket);
+                    let patience = live.promise.patience;
                     self.tickets.insert(ticket, id);
-                    self.backstop_at(now, ticket, ask.class);
+                    self.backstop_at(now, ticket, patience);
                 }
             }
             Verdict::Repeat(id) => {
                 let answer = self.live.get(&id).and_then(|l| l.playing.as_ref()).map(|p| p.answer.clone());
+                self.tickets.insert(ticket, id);
                 self.answer(ticket, answer.unwrap_or(Answer::Failed), out);
             }
             Verdict::Replace(id, Stand::Playing) => {
                 self.end_playing(id, Outcome::Cancelled, true, None, out);
                 self.run(now, out);
-                self.begin(now, now, ticket, ask, out);
+                self.begin(now, now, ticket, ask, patience, out);
             }
             Verdict::Replace(id, Stand::Waiting) => {
                 self.give_up(now, id, Answer::Superseded, out);
@@ -325,7 +340,7 @@
                 // If an attempt was out it is now being closed, and the newer request waits for that.
                 match self.claims.ask(ask.viewer, ask.offer_hash) {
                     Verdict::Park => self.park(now, ticket, ask, out),
-                    _ => self.begin(now, now, ticket, ask, out),
+                    _ => self.begin(now, now, ticket, ask, patience, out),
                 }
             }
             Verdict::Park => self.park(now, ticket, ask, out),
@@ -347,8 +362,9 @@
     }
 
     fn park(&mut self, now: Time, ticket: Ticket, ask: Ask, out: &mut Vec<Effect>) {
-        self.backstop_at(now, ticket, ask.class);
-        if let Some(older) = self.parked.insert(ask.viewer, Parked { ticket, ask, taken: now }) {
+        let patience = self.patience(ask.class);
+        self.backstop_at(now, ticket, patience);
+        if let Some(older) = self.parked.insert(ask.viewer, Parked { ticket, ask, taken: now, patience }) {
             self.answer(older.ticket, Answer::Superseded, out);
         }
     }
@@ -365,12 +381,21 @@
         patience.saturating_sub(self.config.answer_margin)
     }
 
-    fn backstop_at(&mut self, taken: Time, ticket: Ticket, class: u16) {
-        let at = taken.saturating_add(self.patience(class)).saturating_add(self.config.answer_margin / 2);
+    fn backstop_at(&mut self, taken: Time, ticket: Ticket, patience: Time) {
+        let at = taken.saturating_add(patience).saturating_add(self.config.answer_margin / 2);
         self.timers.set(at, Wake::Backstop(ticket));
     }
 
-    fn begin(&mut self, now: Time, taken: Time, ticket: Ticket, ask: Ask, out: &mut Vec<Effect>) {
+    /// A set-up begins, for a viewer who has been here since `taken` and waits so long from then.
+    fn begin(
+        &mut self,
+        now: Time,
+        taken: Time,
+        ticket: Ticket,
+        ask: Ask,
+        patience: Time,
+        out: &mut Vec<Effect>,
+    ) {
         // Session numbers stay below 2^52 and away from the module's own timer token.
         self.next_session = (self.next_session + 1) & 0x000f_ffff_ffff_ffff;
         let id = SessionId(self.next_session);
@@ -383,16 +408,18 @@
             home: f64::from(ask.home),
             copies: f64::from(ask.copies),
             top: f64::from(ask.top),
-            patience: self.patience(ask.class).saturating_sub(now.saturating_sub(taken)),
+            patience: patience.saturating_sub(now.saturating_sub(taken)),
             length: None,
             again,
         };
         if taken == now {
-            self.backstop_at(now, ticket, ask.class);
+            self.backstop_at(now, ticket, patience);
         }
         self.claims.begin(ask.viewer, id, ask.offer_hash);
         self.tickets.insert(ticket, id);
-        let live = Live { ask, tickets: vec![ticket], attempts: 0, rung: 0, taken, out: None, playing: None };
+        let promise = Promise { patience, ..self.promise(ask.class) };
+        let tickets = vec![ticket];
+        let live = Live { ask, tickets, attempts: 0, rung: 0, taken, promise, out: None, playing: None };
         self.live.insert(id, live);
         self.pending.push_back(Event::Request(id, wish));
         self.run(now, out);
@@ -449,18 +476,24 @@
     }
 
     fn answer(&mut self, ticket: Ticket, answer: Answer, out: &mut Vec<Effect>) {
-        self.tickets.remove(&ticket);
+        let live = self.tickets.remove(&ticket).and_then(|id| self.live.get(&id));
+        let by = match (&answer, live) {
+            // Decided by no policy, for want of one that holds.
+            (Answer::Refused(_, Refusal::Fenced), _) => None,
+            (_, Some(live)) => live.promise.version,
+            _ => self.policies.version,
+        };
         self.tally.answered(&answer);
-        out.push(Effect::Answer(ticket, answer));
+        out.push(Effect::Answer(ticket, answer, by));
     }
 
     fn delete(&mut self, ticket: Ticket, resource: &str, out: &mut Vec<Effect>) {
         let Some(id) = self.resources.get(resource).copied() else {
             let answer = if self.moved.pop(resource).is_some() { Answer::Ended } else { Answer::Unknown };
-            return out.push(Effect::Answer(ticket, answer));
+            return out.push(Effect::Answer(ticket, answer, None));
         };
         self.end_playing(id, Outcome::Served, true, None, out);
-        out.push(Effect::Answer(ticket, Answer::Ended));
+        out.push(Effect::Answer(ticket, Answer::Ended, None));
     }
 
     // ---- attempts ------------------------------------------------------------------------------
@@ -535,7 +568,11 @@
         if self.claims.closed(attempt.viewer) {
             if let Some(p) = self.parked.remove(&attempt.viewer) {
                 self.run(now, out);
-                self.begin(now, p.taken, p.ticket, p.ask, out);
+                if self.policies.closed.contains(&p.ask.class) {
+                    return self.answer(p.ticket, Answer::Closed, out);
+                }
+                let patience = p.patience.min(self.patience(p.ask.class));
+                self.begin(now, p.taken, p.ticket, p.ask, patience, out);
             }
         }
     }
@@ -576,7 +613,7 @@
         let tickets = std::mem::take(&mut live.tickets);
         let (viewer, title, publish, class) =
             (live.ask.viewer, live.ask.title, live.ask.publish, live.ask.class);
-        let took = now.saturating_sub(live.taken);
+        let (took, aim) = (now.saturating_sub(live.taken), live.promise.aim);
         live.playing = Some(Playing {
             node,
             path: c.path.clone(),
@@ -594,7 +631,6 @@
         if let Some(state) = self.nodes.get_mut(&node) {
             state.playing.insert(c.path, session);
         }
-        let aim = self.config.decisions.classes.get(usize::from(class)).map_or(0, |c| c.aim);
         self.tally.set_up(class, took, aim);
         for ticket in tickets {
             self.answer(ticket, answer.clone(), out);
@@ -820,12 +856,14 @@
 
     /// The module has given its final answer to a request that plays nowhere.
     fn end_unplaced(&mut self, now: Time, id: SessionId, answer: &Answer, out: &mut Vec<Effect>) {
-        let Some(live) = self.live.remove(&id) else { return };
-        self.claims.end(live.ask.viewer, id);
-        self.returning.note(now, live.ask.viewer);
-        for ticket in live.tickets {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let (viewer, tickets) = (live.ask.viewer, std::mem::take(&mut live.tickets));
+        self.claims.end(viewer, id);
+        self.returning.note(now, viewer);
+        for ticket in tickets {
             self.answer(ticket, answer.clone(), out);
         }
+        self.live.remove(&id);
     }
 }
 
--- a/crates/front/src/engine/peaks.rs
+++ b/crates/front/src/engine/peaks.rs
@@ -9,8 +9,8 @@
 /// Time between two plans.
 const PERIOD: Time = 500 * MS;
 
-/// What announcements may refer to: titles and classes of the settings.
-pub struct Settled<'a>(pub &'a Config);
+/// What announcements may refer to: titles and classes of the settings, those apart that take nothing new.
+pub struct Settled<'a>(pub &'a Config, pub &'a [u16]);
 
 impl Known for Settled<'_> {
     fn title(&self, name: &str) -> Option<(TitleId, u32, u32)> {
@@ -19,7 +19,7 @@
 
     fn class(&self, name: &str) -> Option<(u16, Vec<f64>)> {
         let i = self.0.classes.iter().position(|c| c.name == name && !c.ingest)?;
-        let class = self.0.decisions.classes.get(i)?;
+        let class = self.0.decisions.classes.get(i).filter(|_| !self.1.contains(&(i as u16)))?;
         let top = usize::from(class.top) + 1;
         Some((i as u16, self.0.decisions.ladder.iter().take(top).map(|r| r.kb * class.scale).collect()))
     }
@@ -43,7 +43,7 @@
     /// # Errors
     /// Its faults by field, or what could be held.
     pub fn admit_peak(&self, now: Time, said: &Announcement) -> Result<Peak, Refused> {
-        self.holds.admit(now / MS, name_hash(&said.name), said, &Settled(&self.config))
+        self.holds.admit(now / MS, name_hash(&said.name), said, &Settled(&self.config, &self.policies.closed))
     }
 
     /// Checks one that another front has admitted: its promise stands, if the titles are known here.
@@ -51,7 +51,8 @@
     /// # Errors
     /// As `admit_peak`.
     pub fn heard_peak(&self, now: Time, said: &Announcement) -> Result<Peak, Refused> {
-        said.check(now / MS, name_hash(&said.name), &Settled(&self.config)).map_err(Refused::Fields)
+        said.check(now / MS, name_hash(&said.name), &Settled(&self.config, &self.policies.closed))
+            .map_err(Refused::Fields)
     }
 
     /// Holds for the console.
--- a/crates/front/src/engine/tally.rs
+++ b/crates/front/src/engine/tally.rs
@@ -93,15 +93,21 @@
     }
 }
 
+/// Three digits up to an hour; the bounds are constants, so that this cannot fail.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(3_600_000_000, 3).unwrap_or_else(|_| Histogram::new(1).expect("digits"))
+}
+
+impl PerClass {
+    fn new(name: String) -> Self {
+        Self { name, within_aim: 0, times_us: histogram() }
+    }
+}
+
 impl Tally {
     /// Nothing done yet, for classes of these names.
     #[must_use]
     pub fn new(classes: Vec<String>) -> Self {
-        // Three digits up to an hour; the bounds are constants, so that this cannot fail.
-        let histogram = || {
-            Histogram::new_with_max(3_600_000_000, 3).unwrap_or_else(|_| Histogram::new(1).expect("digits"))
-        };
-        let per = |name| PerClass { name, within_aim: 0, times_us: histogram() };
         Self {
             asked: 0,
             left: 0,
@@ -118,16 +124,24 @@
             strays: 0,
             missing: 0,
             ages_ms: histogram(),
-            classes: classes.into_iter().map(per).collect(),
+            classes: classes.into_iter().map(PerClass::new).collect(),
         }
     }
 
+    /// Classes of these names, in their order: those that are new are counted from now on.
+    pub(super) fn named<'a>(&mut self, classes: impl Iterator<Item = &'a str>) {
+        let known = self.classes.len();
+        self.classes.extend(classes.skip(known).map(|name| PerClass::new(name.to_owned())));
+    }
+
     pub(super) fn answered(&mut self, answer: &Answer) {
         let kind = match answer {
             Answer::Created { .. } => "playing",
             Answer::Refused(_, Refusal::NoRoom) => "refused",
             Answer::Refused(_, Refusal::Overload | Refusal::Copies) => "overload",
             Answer::Refused(_, Refusal::Stopping) => "stopping",
+            Answer::Refused(_, Refusal::Fenced) => "fenced",
+            Answer::Closed => "closed",
             Answer::Failed => "failed",
             Answer::Superseded => "superseded",
             Answer::Unpublished | Answer::Published => "conflict",
--- a/crates/front/src/engine/tests.rs
+++ b/crates/front/src/engine/tests.rs
@@ -1,5 +1,7 @@
 //! The engine under a test's clock: accounts of answers and attempts, whatever happens in which order.
 
+mod policy;
+
 use super::*;
 use bytes::Bytes;
 use pepperhook_inventory::{Names, read};
@@ -60,6 +62,7 @@
     now: Time,
     out: BTreeMap<AttemptId, ServerId>,
     answers: BTreeMap<Ticket, Vec<Answer>>,
+    by: BTreeMap<Ticket, Option<u64>>,
     deleted: Vec<String>,
     told: Vec<(String, &'static str)>,
     seen: Vec<Effect>,
@@ -73,7 +76,8 @@
     fn with(settings: &str, nodes: usize) -> Self {
         let engine = engine_with(settings, nodes);
         let (out, answers) = (BTreeMap::new(), BTreeMap::new());
-        Self { engine, now: T0, out, answers, deleted: Vec::new(), told: Vec::new(), seen: Vec::new() }
+        let (by, deleted, told, seen) = Default::default();
+        Self { engine, now: T0, out, answers, by, deleted, told, seen }
     }
 
     fn take(&mut self, effects: Vec<Effect>) {
@@ -85,7 +89,10 @@
                 Effect::ResetAttempt(id) => {
                     self.out.remove(id);
                 }
-                Effect::Answer(t, a) => self.answers.entry(*t).or_default().push(a.clone()),
+                Effect::Answer(t, a, by) => {
+                    self.answers.entry(*t).or_default().push(a.clone());
+                    self.by.insert(*t, *by);
+                }
                 Effect::DeleteUpstream(_, path) => self.deleted.push(path.clone()),
                 Effect::Tell(resource, event, _) => self.told.push((resource.clone(), event)),
                 _ => {}
@@ -340,6 +347,8 @@
     Pass(u64),
     StreamEnd(usize, u8),
     News(usize, u8),
+    Policy(u8),
+    Fence(bool),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -351,6 +360,8 @@
         3 => (1u64..900).prop_map(Step::Pass),
         1 => (any::<usize>(), 0u8..4).prop_map(|(i, how)| Step::StreamEnd(i, how)),
         1 => (any::<usize>(), 0u8..4).prop_map(|(i, how)| Step::News(i, how)),
+        1 => any::<u8>().prop_map(Step::Policy),
+        1 => any::<bool>().prop_map(Step::Fence),
     ]
 }
 
@@ -358,7 +369,8 @@
     #![proptest_config(ProptestConfig::with_cases(256))]
 
     /// Whatever happens in which order: one answer a ticket, in time; one attempt out a viewer; nothing set
-    /// up that nobody holds or deletes; and in the end nothing is left.
+    /// up that nobody holds or deletes; and in the end nothing is left. Each request is decided by one version of the
+    /// policy, which its answer names, and a fenced front begins nothing.
     #[test]
     fn accounts_hold_in_any_order(steps in prop::collection::vec(step(), 1..120)) {
         let mut b = Bench::new(4);
@@ -366,6 +378,9 @@
         let mut asked: BTreeMap<Ticket, Time> = BTreeMap::new();
         let mut left: BTreeSet<Ticket> = BTreeSet::new();
         let mut made: BTreeSet<String> = BTreeSet::new();
+        let (mut version, mut fenced) = (None, false);
+        let mut promised: BTreeMap<SessionId, Option<u64>> = BTreeMap::new();
+        let mut waits: BTreeMap<Ticket, SessionId> = BTreeMap::new();
         for step in steps {
             let open: Vec<Ticket> =
                 asked.keys().filter(|t| !b.answers.contains_key(t) && !left.contains(t)).copied().collect();
@@ -374,7 +389,10 @@
                 Step::Post { viewer, offer } => {
                     next += 1;
                     asked.insert(Ticket(next), b.now);
+                    let copy = b.engine.claims.knows(ViewerKey(viewer), offer);
                     b.put(Input::Post(Ticket(next), ask(viewer, offer)));
+                    let refused = b.answer(next) == Some(&Answer::Refused(None, Refusal::Fenced));
+                    prop_assert_eq!(refused, fenced && !copy);
                 }
                 Step::Left(i) if !open.is_empty() => {
                     let ticket = open[i % open.len()];
@@ -417,6 +435,14 @@
                     };
                     b.put(Input::News(servers[i % servers.len()], news));
                 }
+                Step::Policy(draw) => {
+                    version = Some(version.unwrap_or(0) + 1);
+                    b.put(policy::drawn(&b.engine, version.unwrap_or(0), draw));
+                }
+                Step::Fence(on) => {
+                    fenced = on;
+                    b.put(Input::Fenced(on));
+                }
                 Step::Left(_) | Step::Delete(_) | Step::End(..) => {}
             }
             let mut viewers = BTreeSet::new();
@@ -426,7 +452,16 @@
             }
             for (ticket, answers) in &b.answers {
                 prop_assert_eq!(answers.len(), 1, "{:?}", ticket);
+                if let Some(id) = waits.remove(ticket) {
+                    prop_assert_eq!(b.by[ticket], promised[&id], "{:?}", ticket);
+                }
+            }
+            for (id, live) in &b.engine.live {
+                let by = *promised.entry(*id).or_insert(version);
+                prop_assert_eq!(by, live.promise.version);
             }
+            prop_assert!(b.engine.decides_by() <= version);
+            waits.extend(b.engine.tickets.iter().map(|(ticket, id)| (*ticket, *id)));
             for (ticket, at) in &asked {
                 let late = !left.contains(ticket) && !b.answers.contains_key(ticket) && at + 4 * S <= b.now;
                 prop_assert!(!late, "{:?} has no answer", ticket);
--- a/crates/front/src/engine/types.rs
+++ b/crates/front/src/engine/types.rs
@@ -1,9 +1,10 @@
 //! What goes into the engine and what comes out of it.
 
 use bytes::Bytes;
-use pepperhook::{Outcome, ServerId, SessionId, Time, TitleId, ViewerKey};
+use pepperhook::{Outcome, ServerId, SessionId, Settings, Time, TitleId, ViewerKey};
 use pepperhook_inventory::Node;
 use pepperhook_peaks::Peak;
+use pepperhook_settings::ClassSettings;
 use pepperhook_signalling::LoadReport;
 use serde::{Deserialize, Serialize};
 
@@ -121,6 +122,19 @@
     Restarted(String, String, Option<String>),
     /// A peak was announced, amended or called off, here or at another front.
     Peak(Peak),
+    /// The policy of this version, which the fleet agreed on, comes into force.
+    Policy {
+        /// Counted up by the fleet; one that is no later than what is in force is passed over.
+        version: u64,
+        /// Everything that the module is told; its zone, racks, cells, fronts and gauges are this front's.
+        settings: Box<Settings>,
+        /// Names and terms, in the order of the settings' classes.
+        classes: Vec<ClassSettings>,
+        /// Names, in the order of the settings' tenants.
+        tenants: Vec<String>,
+    },
+    /// The front cannot know what the fleet agreed, or can again.
+    Fenced(bool),
     /// The event stream of a node ended, or could not be had: no connection, or this status.
     StreamEnded(ServerId, StreamEnd),
 }
@@ -162,6 +176,8 @@
     Unpublished,
     /// Another session publishes the title.
     Published,
+    /// The policy in force takes nothing new of this class.
+    Closed,
     /// DELETE: done.
     Ended,
     /// No such session.
@@ -179,13 +195,16 @@
     Stopping,
     /// As many copies of the request wait as may.
     Copies,
+    /// The front cannot know what the fleet agreed.
+    Fenced,
 }
 
 /// What is to be done.
 #[derive(Debug)]
 pub enum Effect {
-    /// Answer the request; each ticket is answered once.
-    Answer(Ticket, Answer),
+    /// Answer the request; each ticket is answered once. The version of the policy that it was decided by, where
+    /// one was ever agreed.
+    Answer(Ticket, Answer, Option<u64>),
     /// POST the offer to the node.
     SetUp {
         /// Which attempt.
--- a/crates/front/src/engine/view.rs
+++ b/crates/front/src/engine/view.rs
@@ -1,6 +1,7 @@
 //! What the console shows, as plain data.
 
 use super::Engine;
+use super::policy::PolicyShown;
 use super::tally::{AgeRow, ClassRow};
 use pepperhook::{ServerState, Time};
 use pepperhook_duties::{Counters as DutyCounters, DutyRow};
@@ -72,6 +73,9 @@
     pub holds: Vec<HoldRow>,
     /// Copies on other fronts and of other fronts, where there are any.
     pub replica: Option<ReplicaShown>,
+    /// Agreed policies, where one ever came or the front was fenced.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub policy: Option<PolicyShown>,
     /// Sessions found at nodes that nobody held, deleted there.
     pub strays: u64,
     /// Sessions held here that their nodes had not, ended.
@@ -196,6 +200,7 @@
             nodes,
             holds: self.hold_rows(now),
             replica: None,
+            policy: self.policy_shown(),
             strays: t.strays,
             missing: t.missing,
             ages: t.ages(),
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -35,6 +35,8 @@
 const PATCH_TIME: Duration = Duration::from_secs(2);
 /// Advice to those who come to a live title before its publisher.
 const UNPUBLISHED_MS: u64 = 1_000;
+/// Names the version of the agreed policy by which a set-up was decided; problems have it as a member.
+const POLICY: &str = "pepperhook-policy";
 /// Bytes of a title's, a viewer's or a class's name at most.
 const NAME: usize = 256;
 
@@ -61,6 +63,9 @@
     };
     set(&mut r, "access-control-allow-origin", "*");
     set(&mut r, "access-control-expose-headers", "location, etag, link, retry-after");
+    if r.headers().contains_key(POLICY) {
+        set(&mut r, "access-control-expose-headers", "location, etag, link, retry-after, pepperhook-policy");
+    }
     r
 }
 
@@ -123,7 +128,7 @@
         (["session", id], Method::DELETE) => {
             authorize(shell, request.headers())?;
             let resource = (*id).to_owned();
-            match shell.ask(|t| Input::Delete(t, resource)).await {
+            match shell.ask(|t| Input::Delete(t, resource)).await.0 {
                 Answer::Ended => Ok(response(200, "", Bytes::new())),
                 _ => Err(unknown_session()),
             }
@@ -172,7 +177,8 @@
     request: &Request<Incoming>,
     token: Option<&Token>,
 ) -> Result<Ask, Problem> {
-    let config = &shell.config;
+    // The classes and tenants in force: an agreed policy may have brought some.
+    let config = shell.engine(|e, _| e.config().clone());
     let bad = |what: String| Problem::new(400, "query", "Bad query", what);
     let name = percent_encoding::percent_decode_str(title).decode_utf8_lossy().into_owned();
     let place = config.titles.get(&name).filter(|t| t.copies > 0);
@@ -242,14 +248,17 @@
     ask.offer_hash = name_hash(&checked.raw);
     ask.offer = offer;
     let span = info_span!("session", title, viewer = format!("{:016x}", ask.viewer.0), publish);
-    let answer = async {
-        let answer = shell.ask(|t| Input::Post(t, ask)).await;
-        debug!(event = "answered", answer = kind(&answer), "a request was answered");
-        answer
+    let (answer, policy) = async {
+        let (answer, policy) = shell.ask(|t| Input::Post(t, ask)).await;
+        debug!(event = "answered", answer = kind(&answer), policy, "a request was answered");
+        (answer, policy)
     }
     .instrument(span)
     .await;
-    let Answer::Created { resource, etag, sdp, ice } = answer else { return Err(problem_of(&answer)) };
+    let Answer::Created { resource, etag, sdp, ice } = answer else {
+        let problem = problem_of(&answer);
+        return Err(policy.map_or(problem.clone(), |version| problem.with("policy", version.into())));
+    };
     let mut r = response(201, SDP_TYPE, sdp);
     set(&mut r, LOCATION.as_str(), &format!("/session/{resource}"));
     if let Some(etag) = etag {
@@ -258,6 +267,9 @@
     for link in ice {
         add(&mut r, LINK.as_str(), &link);
     }
+    if let Some(version) = policy {
+        set(&mut r, POLICY, &version.to_string());
+    }
     let events =
         format!("</session/{resource}/events>; rel=\"{REL_EVENTS}\"; events=\"inactive,{EVENT_MOVE}\"");
     add(&mut r, LINK.as_str(), &events);
@@ -272,6 +284,7 @@
         Answer::Superseded => "superseded",
         Answer::Unpublished => "unpublished",
         Answer::Published => "published",
+        Answer::Closed => "closed",
         Answer::Ended => "ended",
         Answer::Unknown => "unknown",
     }
@@ -286,8 +299,12 @@
                 Refusal::Overload => ("overload", "the front holds as many requests or sessions as it may"),
                 Refusal::Stopping => ("stopping", "the front is stopping; another one takes the request"),
                 Refusal::Copies => ("copies", "copies of this request wait for its answer already"),
+                Refusal::Fenced => {
+                    ("fenced", "this front cannot know what the fleet agreed; trying elsewhere is harmless")
+                }
             };
-            let p = Problem::new(503, name, "Refused", detail);
+            let title = if *why == Refusal::Fenced { "Fenced" } else { "Refused" };
+            let p = Problem::new(503, name, title, detail);
             // Without advice of the module a second is told: RFC 9725 wants Retry-After with a 503.
             p.after(advice.map_or(1_000, |ns| ns.div_ceil(1_000_000)))
         }
@@ -301,6 +318,9 @@
         Answer::Published => {
             Problem::new(409, "published", "Published already", "another session publishes this title")
         }
+        Answer::Closed => {
+            Problem::new(409, "class-closed", "Closed", "the policy in force takes nothing new of this class")
+        }
         Answer::Unknown => unknown_session(),
         _ => Problem::new(504, "failed", "The set-up failed", "no node set the session up in time"),
     }
@@ -377,3 +397,21 @@
         _ => Err(unknown_session()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fenced_front_says_so_in_a_problem_of_its_own() {
+        let p = problem_of(&Answer::Refused(None, Refusal::Fenced));
+        assert_eq!((p.status, p.kind.as_str()), (503, "urn:pepperhook:problem:fenced"));
+        assert_eq!((p.title.as_str(), p.retry_after_s()), ("Fenced", Some(1)));
+        assert!(p.detail.contains("cannot know what the fleet agreed") && p.detail.contains("is harmless"));
+        let named = p.with("policy", 7.into());
+        assert!(String::from_utf8(named.to_json()).expect("text").contains("\"policy\":7"));
+        assert_eq!(problem_of(&Answer::Closed).status, 409);
+        let full = problem_of(&Answer::Refused(Some(500_000_000), Refusal::NoRoom));
+        assert_eq!((full.title.as_str(), full.retry_after_ms), ("Refused", Some(500)));
+    }
+}
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -31,6 +31,9 @@
 /// Connections that are open then end within this time.
 const LAST_CONNECTIONS: Duration = Duration::from_millis(1_200);
 
+/// An answer, and the version of the policy that it was decided by, where one was ever agreed.
+type Decided = (Answer, Option<u64>);
+
 /// Rungs on their way to a node: the latest counts, one request at a time.
 type Layers = HashMap<(ServerId, String), Option<u8>>;
 
@@ -44,7 +47,7 @@
     pub admin_key: String,
     engine: RefCell<Engine>,
     next_ticket: Cell<u64>,
-    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Decided>>>,
     attempts: RefCell<HashMap<AttemptId, (Hold, JoinHandle<()>)>>,
     streams: RefCell<HashMap<String, mpsc::Sender<String>>>,
     layers: RefCell<Layers>,
@@ -82,13 +85,13 @@
     }
 
     /// Asks, and waits for the one answer.
-    pub async fn ask(self: &Rc<Self>, input: impl FnOnce(Ticket) -> Input) -> Answer {
+    pub async fn ask(self: &Rc<Self>, input: impl FnOnce(Ticket) -> Input) -> Decided {
         let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tell);
         let mut waiting = Waiting { shell: self.clone(), ticket, answered: false };
         self.drive(input(ticket));
-        let answer = told.await.unwrap_or(Answer::Failed);
+        let answer = told.await.unwrap_or((Answer::Failed, None));
         waiting.answered = true;
         answer
     }
@@ -129,7 +132,7 @@
     fn carry_out(self: &Rc<Self>, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Answer(ticket, answer) => self.answer(ticket, answer),
+                Effect::Answer(ticket, answer, by) => self.answer(ticket, answer, by),
                 Effect::SetUp { attempt, node, title, publish, offer } => {
                     self.set_up(attempt, node, title, publish, offer);
                 }
@@ -174,9 +177,9 @@
         self.engine.borrow().node(node).map(|n| n.address)
     }
 
-    fn answer(self: &Rc<Self>, ticket: Ticket, answer: Answer) {
+    fn answer(self: &Rc<Self>, ticket: Ticket, answer: Answer, by: Option<u64>) {
         let Some(tell) = self.waiting.borrow_mut().remove(&ticket) else { return };
-        if let Err(Answer::Created { resource, .. }) = tell.send(answer) {
+        if let Err((Answer::Created { resource, .. }, _)) = tell.send((answer, by)) {
             let shell = self.clone();
             spawn_local(async move { shell.drive(Input::Undelivered(resource)) });
         }
@@ -402,7 +405,7 @@
         shell.engine.borrow_mut().stop();
         spread::leave(shell);
         let _ = self.phase.send(Phase::Stopping);
-        let longest = shell.config.classes.iter().map(|c| c.patience).max().unwrap_or(0);
+        let longest = shell.engine(|e, _| e.longest_wait());
         let idle = async {
             while !shell.engine.borrow().is_idle() {
                 shell.idle.notified().await;
--- a/crates/peaks/src/holds.rs
+++ b/crates/peaks/src/holds.rs
@@ -134,6 +134,11 @@
         self.nodes = nodes;
     }
 
+    /// A rack's mean uplink is told otherwise, kB a second: the next plan goes by it.
+    pub fn uplink(&mut self, kb: f64) {
+        self.uplink_kb = kb;
+    }
+
     /// No peak is known: nothing needs to be done.
     #[must_use]
     pub fn is_empty(&self) -> bool {
