--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -408,10 +408,7 @@
             }
             Out::Write(batch, ops) => {
                 if !shell.spread.agreed.hand(Job::Write(batch, ops)) {
-                    let shell = shell.clone();
-                    spawn_local(async move {
-                        with(&shell, |fleet, now_ms, out| fleet.written(now_ms, batch, false, out));
-                    });
+                    not_written(shell, batch);
                 }
             }
             Out::Remake => {
@@ -426,6 +423,14 @@
     r
 }
 
+/// The disk is too far behind to take a batch: it counts as refused.
+fn not_written(shell: &Rc<Shell>, batch: u64) {
+    let shell = shell.clone();
+    spawn_local(async move {
+        with(&shell, |fleet, now_ms, out| fleet.written(now_ms, batch, false, out));
+    });
+}
+
 /// What this front's engine says of policies, and the task that writes what a voter promises. Nothing where settings do
 /// not name an agreement.
 pub fn agree(shell: &Rc<Shell>) -> Option<JoinHandle<()>> {
