--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -132,8 +132,10 @@
     Disk,
     /// The disk's answers came out of order.
     Order,
-    /// omnipaxos panicked or contradicted itself. What it holds is not known to be sound.
-    Broken,
+    /// More is said to be decided than is there, or less than was: some voter says what is not so.
+    Contradicted,
+    /// omnipaxos panicked. What it holds is not known to be sound.
+    Panicked,
 }
 
 /// Before each message. The digest tells apart configurations that bear the same number.
@@ -482,12 +484,12 @@
                     journal.decided() <= journal.len() && self.handed <= journal.decided() as u64
                 };
                 if !sound {
-                    self.stop(Stopped::Broken);
+                    self.stop(Stopped::Contradicted);
                 }
                 Some(answer).filter(|_| sound)
             }
             Err(_) => {
-                self.stop(Stopped::Broken);
+                self.stop(Stopped::Panicked);
                 None
             }
         }
--- a/crates/agreement/src/voter/sound.rs
+++ b/crates/agreement/src/voter/sound.rs
@@ -133,7 +133,8 @@
             // It will be sent the log from where it says it is.
             return ensure(m.decided_idx <= length && (m.n_accepted != m.n || m.accepted_idx <= length));
         }
-        ensure(m.n_accepted < m.n)?;
+        // Without a log to add it has no more than this voter.
+        ensure(m.n_accepted < m.n && (m.log_sync.is_some() || m.decided_idx <= length))?;
         // What it has more is put into this voter's log, neither into what is decided nor beyond the end.
         ensure(m.log_sync.as_ref().is_none_or(|sync| (decided..=length).contains(&sync.sync_idx)))
     }
--- a/crates/agreement/tests/voter.rs
+++ b/crates/agreement/tests/voter.rs
@@ -187,6 +187,42 @@
     }
 }
 
+/// An entry of which messages were lost, and none after it: nothing else would bring it round.
+#[test]
+fn what_was_lost_is_asked_for() {
+    let mut behind = 0;
+    for seed in 0..40 {
+        let mut world = World::new(3, seed, FAIR);
+        progress(&mut world, &[0]).expect("a start");
+        world.run(20);
+        let leader = world.leader().expect("a leader");
+        let key = world.propose(leader).expect("taken");
+        world.weather.loss = 0.9;
+        world.run(1);
+        world.weather.loss = 0.0;
+        world.run(3);
+        let late = !(0..3).all(|i| world.has(i, key));
+        world.run(57);
+        if world.leader() != Some(leader) {
+            // Heartbeats were lost too: the entry went with the leader.
+            continue;
+        }
+        behind += u32::from(late);
+        assert!((0..3).all(|i| world.has(i, key)), "seed {seed}\n{}", world.report());
+    }
+    assert!(behind > 10, "little was lost: {behind}");
+}
+
+/// A disk that takes longer than a round of heartbeats does not make leaders come and go.
+#[test]
+fn disks_of_half_a_second_decide_all_the_same() {
+    for seed in 0..6 {
+        let mut world = World::new(3, seed, Weather { disk: 600, ..FAIR });
+        let took = progress(&mut world, &[0, 1, 2]);
+        assert!(took.is_some_and(|t| t <= 150), "seed {seed}: {took:?}");
+    }
+}
+
 /// Measures, printed with `--nocapture`: messages and syncs of an entry, and the time of an append to all decided.
 #[test]
 fn what_an_entry_costs() {
