--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -45,7 +45,7 @@
 /// Entries that a leader may have undecided; beyond, it takes no more.
 const MOST_OPEN: usize = 64;
 /// Messages that wait for the disk at most. Those beyond are lost, as any message may be.
-const MOST_HELD: usize = 256;
+const MOST_HELD: usize = 64;
 
 /// What comes out of a voter.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/agreement/tests/voter_bytes.rs
+++ b/crates/agreement/tests/voter_bytes.rs
@@ -198,7 +198,8 @@
             let tap: Vec<_> = world.tap.iter().cloned().collect();
             for (i, j, message) in tap {
                 let (mut head, rest) = postcard::take_from_bytes::<Head>(&message).expect("a head");
-                let (mut message, _) = postcard::take_from_bytes::<Message<Command>>(rest).expect("a message");
+                let (mut message, _) =
+                    postcard::take_from_bytes::<Message<Command>>(rest).expect("a message");
                 turn(&mut rng, &mut message);
                 head.4 += 1;
                 let mut bytes = postcard::to_stdvec(&head).expect("bytes");
--- a/crates/agreement/tests/voters/mod.rs
+++ b/crates/agreement/tests/voters/mod.rs
@@ -244,7 +244,10 @@
         let Some(voter) = self.nodes[i].voter.as_mut() else { return };
         voter.take(&mut out);
         let stopped = voter.is_stopped();
-        assert!(stopped.is_none() || self.astray && stopped == Some(Stopped::Contradicted), "stopped: {stopped:?}");
+        assert!(
+            stopped.is_none() || self.astray && stopped == Some(Stopped::Contradicted),
+            "stopped: {stopped:?}"
+        );
         for o in out {
             match o {
                 VoterOut::Write { batch, ops } => {
