--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -45,7 +45,7 @@
 /// Entries that a leader may have undecided; beyond, it takes no more.
 const MOST_OPEN: usize = 64;
 /// Messages that wait for the disk at most. Those beyond are lost, as any message may be.
-const MOST_HELD: usize = 256;
+const MOST_HELD: usize = 64;
 
 /// What comes out of a voter.
 #[derive(Clone, Debug, PartialEq)]
@@ -132,8 +132,10 @@
     Disk,
     /// The disk's answers came out of order.
     Order,
-    /// omnipaxos panicked or contradicted itself. What it holds is not known to be sound.
-    Broken,
+    /// More is said to be decided than is there, or less than was: some voter says what is not so.
+    Contradicted,
+    /// omnipaxos panicked. What it holds is not known to be sound.
+    Panicked,
 }
 
 /// Before each message. The digest tells apart configurations that bear the same number.
@@ -482,12 +484,12 @@
                     journal.decided() <= journal.len() && self.handed <= journal.decided() as u64
                 };
                 if !sound {
-                    self.stop(Stopped::Broken);
+                    self.stop(Stopped::Contradicted);
                 }
                 Some(answer).filter(|_| sound)
             }
             Err(_) => {
-                self.stop(Stopped::Broken);
+                self.stop(Stopped::Panicked);
                 None
             }
         }
