--- a/crates/agreement/tests/voter.rs
+++ b/crates/agreement/tests/voter.rs
@@ -1,5 +1,6 @@
 //! Voters over a hostile network and on disks that crash.
 
+#[allow(dead_code)]
 mod voters;
 
 use pepperhook_agreement::majority;
--- a/crates/agreement/tests/voters/mod.rs
+++ b/crates/agreement/tests/voters/mod.rs
@@ -224,9 +224,12 @@
     }
 
     pub fn propose(&mut self, i: usize) -> Option<u128> {
-        self.keys += 1;
         let body = vec![self.keys as u8; self.rng.random_range(0..300)];
-        let what = What::Put { subject: Subject { space: 1, number: 0 }, expects: 0, body };
+        self.propose_what(i, What::Put { subject: Subject { space: 1, number: 0 }, expects: 0, body })
+    }
+
+    pub fn propose_what(&mut self, i: usize, what: What) -> Option<u128> {
+        self.keys += 1;
         let command = Command { key: Key(self.keys), author: self.nodes[i].me.front, what };
         self.checker.proposed.insert(self.keys);
         let taken = self.nodes[i].voter.as_mut().is_some_and(|v| v.append(command));
@@ -234,6 +237,11 @@
         taken.then_some(self.keys)
     }
 
+    /// How many times slower this disk is.
+    pub fn slow(&mut self, i: usize, times: u64) {
+        self.nodes[i].slow = times;
+    }
+
     pub fn has(&self, i: usize, key: u128) -> bool {
         let next = self.checker.next.get(&self.nodes[i].me.front).copied().unwrap_or(0);
         self.checker.decided.range(..next).any(|(_, c)| c.key.0 == key)
