--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -23,6 +23,8 @@
 const FOLD_MS: u64 = 1_000;
 /// A majority of new voters has to have been heard of within this, milliseconds.
 const THERE_MS: u64 = 10_000;
+/// Bytes that may be on their way to a voter before more is let go as lost: a second and a half at the parcels' pace.
+const MOST_LEFT: usize = 96 * 1024;
 /// The leader tells those it grants to of new entries this often at most, milliseconds.
 const PUSH_MS: u64 = 100;
 
@@ -298,6 +300,11 @@
 
     fn say_voter(&mut self, now_ms: u64, to: VoterId, bytes: Vec<u8>, out: &mut Vec<Out>) {
         let urgent = crate::voter::is_heartbeat(&bytes);
+        let left = self.parcels.left(to.front);
+        // What is sent again while it is still on its way would hold up all that follows it.
+        if !urgent && left > 0 && left + bytes.len() > MOST_LEFT {
+            return;
+        }
         let message = Message::Consensus { standing: self.standing(), to: to.store, bytes };
         if !urgent && self.parcels.is_busy(to.front) {
             // It must not overtake a longer one.
--- a/crates/agreement/src/parcel.rs
+++ b/crates/agreement/src/parcel.rs
@@ -188,6 +188,15 @@
         self.to.get(&to).is_some_and(|t| t.open.is_some() || !t.waiting.is_empty())
     }
 
+    /// Bytes that have not arrived at a front yet.
+    #[must_use]
+    pub fn left(&self, to: u64) -> usize {
+        self.to.get(&to).map_or(0, |t| {
+            let open = t.open.as_ref().map_or(0, |o| o.pieces.iter().flatten().count() * PIECE);
+            open + t.waiting.iter().map(Vec::len).sum::<usize>()
+        })
+    }
+
     /// A piece came; the parcel's messages once it was the last. `run` is the sender's.
     pub fn piece(&mut self, now_ms: u64, from: u64, run: u64, piece: &Piece) -> (Vec<Vec<u8>>, Option<Ack>) {
         let (length, index) = (piece.length as usize, usize::from(piece.index));
