--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -144,6 +144,12 @@
     pub fenced: bool,
     /// What it has is not what was agreed.
     pub forked: bool,
+    /// Version of the policy that this front goes by.
+    pub version: Option<u64>,
+    /// The step of its change.
+    pub step: Option<&'static str>,
+    /// The entry that put it into force.
+    pub entry: u64,
     /// The policy, its step, who made it.
     pub policy: Vec<(&'static str, String)>,
 }
@@ -390,6 +396,9 @@
             holds_ms: v.holds_ms,
             fenced: self.fenced(now_ms),
             forked: v.forked,
+            version: self.in_force().map(|(version, ..)| version),
+            step: self.in_force().map(|(_, step, _)| step),
+            entry: self.force,
             policy: self.governor.rows(now_ms),
         }
     }
