--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -102,7 +102,7 @@
         };
         let address = socket.as_ref().map(|s| s.local_addr()).transpose()?;
         let view = x.zip(address).map(|(x, address)| View {
-            address,
+            address: x.advertise.unwrap_or(address),
             weight: x.weight,
             fronts,
             period_ms: x.look / 1_000_000,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -102,6 +102,8 @@
 pub struct ExchangeSettings {
     /// Where datagrams come.
     pub listen: SocketAddr,
+    /// Where the other fronts send them, if that is another address: behind a translation of addresses, or a relay.
+    pub advertise: Option<SocketAddr>,
     /// The other fronts.
     pub peers: Vec<SocketAddr>,
     /// Secret that all fronts share.
@@ -372,6 +374,9 @@
     let mut f = Fields::new(block);
     let listen = f.parsed("listen", "address such as 127.0.0.1:7400");
     let listen = f.need("listen", listen.map(Some)).unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+    let advertise = f.with("advertise", "address such as 10.0.0.7:7400, with its port", |t| {
+        t.parse::<SocketAddr>().ok().filter(|a| !a.ip().is_unspecified() && a.port() != 0)
+    });
     let mut peers = Vec::new();
     for word in f.lines("peer", 1, 1).into_iter().map(|l| &l.values[0]) {
         match word.text.parse() {
@@ -383,6 +388,7 @@
     let key = f.word("key").map(|w| w.text.clone());
     let settings = ExchangeSettings {
         listen,
+        advertise,
         peers,
         key: f.need("key", key),
         previous_key: f.word("previous-key").map(|w| w.text.clone()),
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -67,7 +67,13 @@
     let c = with("key abcdef\nprevious-key ghi\npeer 127.0.0.1:7401\nperiod 500ms\n").expect("settings");
     assert!(!format!("{c:?}").contains("abcdef") && !format!("{c:?}").contains("ghi"));
     let x = c.exchange.expect("an exchange");
-    assert_eq!((x.peers.len(), x.period, x.fanout), (1, 500 * MS, 2));
+    assert_eq!((x.peers.len(), x.period, x.fanout, x.advertise), (1, 500 * MS, 2, None));
+    let c = with("key k\nadvertise 10.0.0.7:7400\n").expect("settings");
+    assert_eq!(c.exchange.and_then(|x| x.advertise), "10.0.0.7:7400".parse().ok());
+    for nowhere in ["0.0.0.0:7400", "10.0.0.7:0", "10.0.0.7"] {
+        let e = with(&format!("key k\nadvertise {nowhere}\n")).expect_err("nobody can send there").to_string();
+        assert!(e.contains(nowhere) && e.contains("with its port"), "{e}");
+    }
     let e = with("peer nowhere\npeer 127.0.0.1:1\npeer 127.0.0.1:1\n").expect_err("faults").to_string();
     assert!(e.contains("nowhere") && e.contains("given twice") && e.contains("lack 'key'"), "{e}");
 }
