Process tests of what the fleet agrees on, behind relays with cuts, stops and kills

Five processes, three of them voters, viewers at every front all the while: a change with a front cut off, with the leader killed, with a front stopped; one that a front cannot go by; a majority lost; voters with no store, an older one, a torn one. Found by them and mended: a restarted voter did not go by the policy that its own store had, and vouched for it (governor is told what the store had before anything later); a front that objects fenced itself though its hold stood.

--- a/crates/agreement/tests/hold_model.rs
+++ b/crates/agreement/tests/hold_model.rs
@@ -221,7 +221,8 @@
                 w.looks.push((v, f, front.run, front.question, asked, front.hold.vouched()));
             }
             Act::Arrive(i, again) => {
-                let (v, f, run, question, asked, vouched) = if again { w.looks[i] } else { w.looks.remove(i) };
+                let (v, f, run, question, asked, vouched) =
+                    if again { w.looks[i] } else { w.looks.remove(i) };
                 let voter = &mut w.voters[v];
                 if !voter.votes {
                     return (!again).then_some(w);
--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -167,6 +167,8 @@
     /// The entry in force.
     force: u64,
     governed_ms: u64,
+    /// What the store's policy brought, until the first look.
+    kept: Vec<Said>,
 }
 
 impl Agreed {
@@ -178,7 +180,7 @@
             first_ms: u32::try_from(hold_ms.saturating_mul(4)).unwrap_or(u32::MAX),
             ..Pace::default()
         };
-        Self {
+        let mut new = Self {
             node: Node::new(settings.node, settings.kept, now_ms),
             governor: Governor::new(me, pace, settings.seed),
             means: Box::new(NoMeans),
@@ -188,7 +190,13 @@
             due: VecDeque::new(),
             force: 0,
             governed_ms: 0,
-        }
+            kept: Vec::new(),
+        };
+        // What the store had is gone by before anything later.
+        let mut said = Vec::new();
+        new.replaced(now_ms, &mut said);
+        new.kept = said;
+        new
     }
 
     pub fn set_means(&mut self, means: Box<dyn Means>) {
@@ -199,15 +207,17 @@
         self.node.raise(run);
     }
 
-    /// It cannot know what the fleet agreed, for as long as a request that is taken now may wait.
+    /// It cannot know what the fleet agreed, for as long as a request that is taken now may wait. One that objects to a
+    /// policy goes on by the former: nobody goes further than the step between while it holds.
     pub fn fenced(&self, now_ms: u64) -> bool {
         if !self.node.knows() {
             return !self.serve_unknown;
         }
-        !self.node.holds(now_ms.saturating_add(self.patience_ms)) || self.governor.stuck().is_some()
+        !self.node.holds(now_ms.saturating_add(self.patience_ms))
     }
 
     pub fn tick(&mut self, now_ms: u64, out: &mut Vec<Said>) {
+        out.append(&mut self.kept);
         let mut said = Vec::new();
         self.node.tick(now_ms, &mut said);
         self.take(now_ms, said, out);
