What was meant for an earlier life of a voter is refused, shown by its log

All that a leader ever said, handed again to a follower that restarted: without the check its log fell from 5 accepted entries to none, which it had told the leader that it has.

--- a/crates/agreement/tests/voter_bytes.rs
+++ b/crates/agreement/tests/voter_bytes.rs
@@ -87,6 +87,42 @@
     }
 }
 
+/// All that a leader ever said, again and in order, to a follower that has restarted meanwhile. omnipaxos would take the
+/// first log that it was sent for the present one, and forget what it told the leader that it has.
+#[test]
+fn what_was_meant_for_an_earlier_life_is_refused() {
+    let mut world = World::new(3, 1, FAIR);
+    let mut said = Vec::new();
+    let mut run = |world: &mut World, steps: u32| {
+        for _ in 0..steps {
+            world.step();
+            said.extend(world.tap.drain(..));
+        }
+    };
+    run(&mut world, 200);
+    let leader = world.leader().expect("a leader");
+    let follower = (leader + 1) % 3;
+    for _ in 0..5 {
+        world.propose(leader).expect("taken");
+    }
+    while world.reach(follower).1 < 5 {
+        run(&mut world, 1);
+    }
+    // Before it hears that they are decided.
+    world.cut.insert((leader, follower));
+    run(&mut world, 5);
+    world.kill(follower, 10);
+    run(&mut world, 2);
+    assert_eq!(world.reach(follower).1, 5, "as kept");
+    assert!(!world.has(follower, 1));
+    let old: Vec<_> = said.iter().filter(|(i, j, _)| (*i, *j) == (leader, follower)).collect();
+    assert!(old.len() > 10);
+    for (i, j, message) in old {
+        let _ = world.hand(*i, *j, message);
+        assert_eq!(world.reach(follower).1, 5);
+    }
+}
+
 fn index(rng: &mut StdRng, it: &mut usize) {
     *it = match rng.random_range(0..6) {
         0 => 0,
--- a/crates/agreement/tests/voters/mod.rs
+++ b/crates/agreement/tests/voters/mod.rs
@@ -202,6 +202,10 @@
         node.back_at = self.now + back_in;
     }
 
+    pub fn reach(&self, i: usize) -> (u32, u64) {
+        self.nodes[i].voter.as_ref().map_or((0, 0), Voter::reach)
+    }
+
     pub fn is_up(&self, i: usize) -> bool {
         self.nodes[i].voter.is_some()
     }
