Policy: a change on trial, judged by service and undone by the same steps

A change may carry a time and a share of requests: the front that is asked puts in what was before, who drives the trial where the sums stood, so that any front judges the same way, by a two-proportion z test at 3 standard errors and a least loss. Worse is undone as a further version; an operator ends a trial early. Under the model checker as the rest.

--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::change::{Made, Undone};
 use crate::policy::{Difference, Policy};
+use crate::trial::Trial;
 use pepperhook_agreement::Command;
 use std::fmt;
 
@@ -41,6 +42,8 @@
     pub text: String,
     /// Only says what would be.
     pub dry_run: bool,
+    /// Undo the change if service becomes worse by it.
+    pub trial: Option<Trial>,
 }
 
 /// Why a front cannot go by a policy.
@@ -103,6 +106,11 @@
         /// Who asked for it.
         made: Made,
     },
+    /// The trial of this version is being ended: it stands. [`Answer::Stands`] follows for who asked for it.
+    Keeping {
+        /// The version.
+        version: u64,
+    },
     /// The document is none, or changes what it may not; why, with lines where there are any.
     Refused(String),
     /// This front cannot go by it.
@@ -150,6 +158,9 @@
                     "version {version} by {made} is under way, step {step}: ask again when it is through"
                 )
             }
+            Self::Keeping { version } => {
+                write!(f, "the trial of version {version} is being ended, it stands")
+            }
             Self::Refused(why) => write!(f, "refused: {}", why.trim_end()),
             Self::Unfit(Unfit { front, why }) => write!(f, "refused: front {front} cannot go by it: {why}"),
             Self::NotAgreed => write!(f, "the fleet has agreed on no policy that this front can read"),
--- a/crates/policy/src/change.rs
+++ b/crates/policy/src/change.rs
@@ -1,6 +1,7 @@
 //! What the register of the policy says: which policy stands, or which step of a change.
 
 use crate::policy::{MOST_TEXT, Policy};
+use crate::trial::{Counts, Trial};
 use pepperhook_agreement::{MOST_BODY, Subject};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -34,6 +35,15 @@
     pub why: String,
 }
 
+/// A trial with what it compares to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Proof {
+    /// The trial.
+    pub trial: Trial,
+    /// What it watches, over its time before the change.
+    pub before: Counts,
+}
+
 /// A change under way.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Steps {
@@ -51,6 +61,10 @@
     pub new: String,
     /// The first step is undone where it has stood so long without being settled.
     pub first_ms: u32,
+    /// Judged by service before it stands.
+    pub proof: Option<Proof>,
+    /// The change that this one undoes, since its trial went badly.
+    pub undoes: Option<Undone>,
 }
 
 /// What the register says.
@@ -73,6 +87,13 @@
     First(Steps),
     /// Everyone goes by the new one. Only forward.
     Second(Steps),
+    /// Everyone goes by the new one, and service is watched.
+    Trial {
+        /// The change.
+        steps: Steps,
+        /// The sums that are watched, as the trial began.
+        from: Counts,
+    },
     /// Everyone goes by the old one again; another change can begin only once nobody goes by the tighter any more.
     Back {
         /// The change.
@@ -113,7 +134,9 @@
         let (Wire::V1(change), rest) = postcard::take_from_bytes(bytes).map_err(|_| Unread)?;
         let texts: &[&str] = match &change {
             Self::Stands { policy, .. } => &[policy],
-            Self::First(s) | Self::Second(s) | Self::Back { steps: s, .. } => &[&s.old, &s.new],
+            Self::First(s) | Self::Second(s) | Self::Trial { steps: s, .. } | Self::Back { steps: s, .. } => {
+                &[&s.old, &s.new]
+            }
         };
         let fits = rest.is_empty() && texts.iter().all(|t| t.len() <= MOST_TEXT);
         if fits { Ok(change) } else { Err(Unread) }
@@ -126,6 +149,7 @@
             Self::Stands { .. } => "stands",
             Self::First(_) => "first",
             Self::Second(_) => "second",
+            Self::Trial { .. } => "trial",
             Self::Back { .. } => "back",
         }
     }
@@ -135,7 +159,9 @@
     pub fn version(&self) -> u64 {
         match self {
             Self::Stands { version, .. } => *version,
-            Self::First(s) | Self::Second(s) | Self::Back { steps: s, .. } => s.version,
+            Self::First(s) | Self::Second(s) | Self::Trial { steps: s, .. } | Self::Back { steps: s, .. } => {
+                s.version
+            }
         }
     }
 
@@ -144,7 +170,9 @@
     pub fn made(&self) -> &Made {
         match self {
             Self::Stands { made, .. } => made,
-            Self::First(s) | Self::Second(s) | Self::Back { steps: s, .. } => &s.made,
+            Self::First(s) | Self::Second(s) | Self::Trial { steps: s, .. } | Self::Back { steps: s, .. } => {
+                &s.made
+            }
         }
     }
 
@@ -156,7 +184,7 @@
         };
         match self {
             Self::Stands { policy, .. } => read(policy).map(|p| (p.clone(), p)),
-            Self::First(s) | Self::Second(s) | Self::Back { steps: s, .. } => {
+            Self::First(s) | Self::Second(s) | Self::Trial { steps: s, .. } | Self::Back { steps: s, .. } => {
                 Ok((read(&s.old)?, read(&s.new)?))
             }
         }
--- a/crates/policy/src/governor.rs
+++ b/crates/policy/src/governor.rs
@@ -5,13 +5,19 @@
 //! Who drives does not matter: commands apply only to the entry that they follow, and their keys follow from it.
 
 use crate::answer::{Answer, Ask, Effect, MOST_NAME, Pace, Unfit};
-use crate::change::{Change, MOST_WHY, Made, SUBJECT, Steps, Undone, cut, derived};
-use crate::policy::{Difference, Policy};
+use crate::change::{Change, MOST_WHY, Made, Proof, SUBJECT, Steps, Undone, cut, derived};
+use crate::policy::Policy;
 use crate::tighter::tighter;
+use crate::trial::{History, Sums, Verdict};
 use pepperhook_agreement::{Command, Entry, Key, Outcome, Registers, What};
 use pepperhook_settings::Config;
 use std::collections::{BTreeMap, VecDeque};
 
+mod told;
+mod view;
+
+use told::known;
+
 /// Changes that wait at a front at most.
 const MOST_WAITING: usize = 16;
 /// Answers that are remembered for those who ask again.
@@ -63,6 +69,9 @@
     Back = 4,
     Gone = 5,
     First = 6,
+    Trial = 7,
+    Undo = 8,
+    Keep = 9,
 }
 
 /// A change that was asked for here and is not through.
@@ -99,6 +108,7 @@
     proposed: Option<(u64, u64)>,
     waiting: BTreeMap<u128, Waiting>,
     answers: VecDeque<(u128, Answer)>,
+    history: History,
 }
 
 impl Governor {
@@ -123,6 +133,7 @@
             proposed: None,
             waiting: BTreeMap::new(),
             answers: VecDeque::new(),
+            history: History::default(),
         }
     }
 
@@ -265,6 +276,20 @@
         for policy in [&both, &new] {
             fits.fits(policy).map_err(|why| Answer::Unfit(Unfit { front: self.me, why }))?;
         }
+        let proof = match ask.trial {
+            None => None,
+            Some(trial) if !trial.is_sound() => {
+                return Err(refused(
+                    &"a trial takes 10 s to an hour, and a loss of 1,000 thousandths at most",
+                ));
+            }
+            Some(trial) => match self.history.before(now_ms, &trial) {
+                Some(before) => Some(Proof { trial, before }),
+                None => {
+                    return Err(refused(&"this front has not known service for as long as the trial takes"));
+                }
+            },
+        };
         let number = last.saturating_add(1);
         if ask.dry_run {
             let (changes, first) = (at.old.differences(&new), at.old.differences(&both));
@@ -281,6 +306,8 @@
             old: at.old.text().to_owned(),
             new: new.text().to_owned(),
             first_ms: self.pace.first_ms,
+            proof,
+            undoes: None,
         };
         let expects = at.number;
         let body = Change::First(steps).encode().ok_or_else(|| refused(&"the change is too long"))?;
@@ -293,56 +320,25 @@
         Ok(())
     }
 
-    /// The figures in which a file and the policy that stands differ.
-    #[must_use]
-    pub fn differs(&self, file: &Config) -> Vec<Difference> {
-        let stands = self.at.as_ref().map(|at| &at.old);
-        let file = Policy::from_config(file).ok();
-        file.zip(stands).map_or_else(Vec::new, |(file, stands)| file.differences(stands))
-    }
-
-    /// The policy that the front goes by: version, step, document.
-    #[must_use]
-    pub fn in_force(&self) -> Option<(u64, &'static str, &Policy)> {
-        self.force.as_ref().map(|(version, step, policy)| (*version, *step, policy))
+    /// What the whole fleet served until now, as this front knows it. Once a second or so.
+    pub fn served(&mut self, now_ms: u64, sums: Sums) {
+        self.history.served(now_ms, sums);
     }
 
-    /// Why the front cannot go by what was decided.
-    #[must_use]
-    pub fn stuck(&self) -> Option<&str> {
-        self.stuck.as_deref()
-    }
-
-    /// For display: what stands or is under way, and how this front goes by it.
-    #[must_use]
-    pub fn rows(&self, now_ms: u64) -> Vec<(&'static str, String)> {
-        let mut rows = Vec::new();
-        match &self.at {
-            None => rows.push(("policy", "none is agreed on".to_owned())),
-            Some(at) => {
-                let change = &at.change;
-                rows.push(("policy", format!("version {}, {}", change.version(), change.step())));
-                rows.push(("by", change.made().to_string()));
-                let for_s = now_ms.saturating_sub(at.since_ms) / 1_000;
-                let settled = if at.settled_ms.is_some() { "settled" } else { "not settled" };
-                rows.push(("entry", format!("{}, {settled}, for {for_s} s", at.number)));
-                if let Change::Stands { undone: Some(u), .. } = change {
-                    let what = format!("version {} by {}, by front {}: {}", u.version, u.made, u.by, u.why);
-                    rows.push(("undone", what));
+    /// An operator ends the trial of this version: it stands.
+    pub fn keep(&mut self, key: u128, version: u64, out: &mut Vec<Effect>) {
+        let answer = match self.at.as_ref().map(|at| &at.change) {
+            Some(Change::Trial { steps, .. }) if steps.version == version => match through(steps).encode() {
+                Some(body) => {
+                    let command = derived(&[key, u128::from(self.register), Next::Keep as u128]);
+                    out.push(self.put(Key(command), self.register, body));
+                    Answer::Keeping { version }
                 }
-            }
-        }
-        if let Some((version, step, _)) = &self.force {
-            rows.push(("in force", format!("version {version}, {step}")));
-        }
-        if self.unread {
-            rows.push(("stuck", "a later edition wrote what this one cannot read".into()));
-        }
-        if let Some(why) = &self.stuck {
-            rows.push(("stuck", why.clone()));
-        }
-        rows.push(("vouches for", self.vouched.to_string()));
-        rows
+                None => Answer::Refused("the policy is too long".into()),
+            },
+            _ => Answer::Refused(format!("no trial of version {version} is under way")),
+        };
+        out.push(Effect::Told { key, answer });
     }
 
     fn put(&self, key: Key, expects: u64, body: Vec<u8>) -> Effect {
@@ -383,7 +379,7 @@
         let both;
         let target = match &at.change {
             Change::Stands { .. } | Change::Back { .. } => Ok(&at.old),
-            Change::Second(_) => Ok(&at.new),
+            Change::Second(_) | Change::Trial { .. } => Ok(&at.new),
             Change::First(_) => match tighter(&at.old, &at.new) {
                 Ok(policy) => {
                     both = policy;
@@ -496,10 +492,37 @@
                 };
                 passed(at.since_ms, first_ms.saturating_add(turn)).then(|| (Next::Back, true, back(why())))
             }
-            Change::Second(s) => settled.then(|| {
-                let (version, policy, made) = (s.version, s.new.clone(), s.made.clone());
-                (Next::Through, false, Change::Stands { version, last: version, policy, made, undone: None })
-            }),
+            Change::Second(s) => match &s.proof {
+                None => settled.then(|| (Next::Through, false, through(s))),
+                Some(proof) => {
+                    let from = proof.trial.of(self.history.last());
+                    // Who does not know the sums leaves it to others; if nobody does the change goes unjudged.
+                    if from.of < proof.before.of {
+                        let late = settled && passed(at.since_ms, proof.trial.time_ms());
+                        return late.then(|| (Next::Through, false, through(s)));
+                    }
+                    settled.then(|| (Next::Trial, false, Change::Trial { steps: s.clone(), from }))
+                }
+            },
+            Change::Trial { steps: s, from } => {
+                let Some(proof) = &s.proof else { return Some((Next::Through, false, through(s))) };
+                if !passed(at.since_ms, proof.trial.time_ms().saturating_add(turn)) {
+                    return None;
+                }
+                let after = proof.trial.of(self.history.last()).since(*from);
+                // Sums that went back are those of a front that was lost: nothing can be said.
+                let verdict = after.map_or(Verdict::Few, |after| proof.trial.judge(proof.before, after));
+                let undo = match verdict {
+                    Verdict::Worse(why) => self.undo(at, s, &why),
+                    Verdict::Kept => None,
+                    // Another front may know more.
+                    Verdict::Few if !passed(at.since_ms, proof.trial.time_ms().saturating_mul(2)) => {
+                        return None;
+                    }
+                    Verdict::Few => None,
+                };
+                Some(undo.map_or_else(|| (Next::Through, false, through(s)), |undo| (Next::Undo, true, undo)))
+            }
             Change::Back { steps: s, by, why } => settled.then(|| {
                 let undone = Undone { version: s.version, made: s.made.clone(), by: *by, why: why.clone() };
                 let (version, policy, made) = (s.old_version, s.old.clone(), s.old_made.clone());
@@ -512,71 +535,28 @@
         }
     }
 
-    /// Tells who asked here how far their change is.
-    fn tell(&mut self, out: &mut Vec<Effect>) {
-        // An accepted change that the register knows nothing of went by in a snapshot.
-        let of = |key: u128, w: &Waiting| {
-            let answer = self.at.as_ref().and_then(|at| known(at, key));
-            answer.or_else(|| w.accepted.then_some(Answer::Unknown))
-        };
-        let told: Vec<(u128, Answer)> =
-            self.waiting.iter().filter_map(|(key, w)| of(*key, w).map(|answer| (*key, answer))).collect();
-        for (key, answer) in told {
-            if answer == Answer::Unknown {
-                self.waiting.remove(&key);
-                out.push(Effect::Told { key, answer });
-                continue;
-            }
-            if let Answer::Accepted { .. } = answer {
-                match self.waiting.get_mut(&key) {
-                    Some(waiting) if !waiting.accepted => waiting.accepted = true,
-                    _ => continue,
-                }
-                out.push(Effect::Told { key, answer });
-            } else {
-                self.done(key, answer, out);
-            }
-        }
-    }
-
-    /// A command of the policy's register changed nothing.
-    fn lost(&mut self, command: u128, outcome: &Outcome, out: &mut Vec<Effect>) {
-        let mine = self.waiting.iter().find(|(_, w)| !w.accepted && w.command == command);
-        let Some((key, waiting)) = mine else { return };
-        let key = *key;
-        let answer = match (&self.at, outcome) {
-            (_, Outcome::Full) => Answer::Refused("the agreed state has no room for it".into()),
-            (Some(at), _) => Answer::Conflict {
-                asked: waiting.made.clone(),
-                against: waiting.against,
-                stands: at.change.version(),
-                made: at.change.made().clone(),
-            },
-            (None, _) => Answer::NotAgreed,
-        };
-        self.done(key, answer, out);
-    }
-
-    fn done(&mut self, key: u128, answer: Answer, out: &mut Vec<Effect>) {
-        self.waiting.remove(&key);
-        if self.answers.len() >= MOST_ANSWERS {
-            self.answers.pop_front();
-        }
-        self.answers.push_back((key, answer.clone()));
-        out.push(Effect::Told { key, answer });
+    /// Back to what stood before, by the same steps. Classes that the new one has stay, closed.
+    fn undo(&self, at: &At, s: &Steps, why: &str) -> Option<Change> {
+        let new = at.new.then(&at.old).ok()?;
+        let key = derived(&[s.made.key, u128::from(at.number), Next::Undo as u128]);
+        let undoes =
+            Undone { version: s.version, made: s.made.clone(), by: self.me, why: cut(why, MOST_WHY) };
+        Some(Change::First(Steps {
+            version: s.version.saturating_add(1),
+            made: Made { key, front: self.me, name: "trial".into() },
+            old_version: s.version,
+            old_made: s.made.clone(),
+            old: s.new.clone(),
+            new: new.text().to_owned(),
+            first_ms: s.first_ms,
+            proof: None,
+            undoes: Some(undoes),
+        }))
     }
 }
 
-/// What the register says of a change.
-fn known(at: &At, key: u128) -> Option<Answer> {
-    match &at.change {
-        Change::Stands { undone: Some(undone), .. } if undone.made.key == key => {
-            Some(Answer::Undone(undone.clone()))
-        }
-        Change::Stands { version, made, .. } if made.key == key => Some(Answer::Stands { version: *version }),
-        Change::Stands { .. } => None,
-        Change::First(s) | Change::Second(s) | Change::Back { steps: s, .. } => {
-            (s.made.key == key).then_some(Answer::Accepted { version: s.version, number: at.number })
-        }
-    }
+/// The change is through.
+fn through(s: &Steps) -> Change {
+    let (version, policy, made) = (s.version, s.new.clone(), s.made.clone());
+    Change::Stands { version, last: version, policy, made, undone: s.undoes.clone() }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,9 +9,11 @@
 mod governor;
 mod policy;
 mod tighter;
+mod trial;
 
 pub use answer::{Answer, Ask, Effect, MOST_NAME, Pace, Unfit};
-pub use change::{Change, MOST_WHY, Made, SUBJECT, Steps, Undone, Unread};
+pub use change::{Change, MOST_WHY, Made, Proof, SUBJECT, Steps, Undone, Unread};
 pub use governor::{Around, Fits, Governor};
 pub use policy::{Difference, Fixed, MOST_ASKED, MOST_TEXT, Policy, PolicyError};
 pub use tighter::{RULES, Rule, neighbours, tighter, within};
+pub use trial::{Counts, Sums, Trial, Verdict, Watch};
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -11,7 +11,7 @@
 /// Bytes of the text that an operator hands in at most, comments and all.
 pub const MOST_ASKED: usize = MOST_BODY;
 /// Bytes of a policy as it is written by [`Policy::text`] at most: a step of a change carries two, and the names.
-pub const MOST_TEXT: usize = 7 * 1024 + 512;
+pub const MOST_TEXT: usize = 7 * 1024 + 256;
 /// Faults of a document that are told at most.
 const MOST_FAULTS: usize = 8;
 
--- a/crates/policy/tests/documents.rs
+++ b/crates/policy/tests/documents.rs
@@ -2,7 +2,8 @@
 
 use pepperhook::{Class, Group, Prices, Repeat, RetryBudget, Rules, Rung, Tenant};
 use pepperhook_policy::{
-    Change, MOST_ASKED, MOST_TEXT, Made, Policy, PolicyError, RULES, Rule, Steps, Undone,
+    Change, Counts, MOST_ASKED, MOST_TEXT, MOST_WHY, Made, Policy, PolicyError, Proof, RULES, Rule, Steps,
+    Trial, Undone, Watch,
 };
 use pepperhook_policy::{neighbours, tighter, within};
 use pepperhook_settings::{ClassSettings, Config, Fleet, FleetClass, HoldSettings};
@@ -329,6 +330,9 @@
     // The longest that are allowed fit into one body, with the longest names and reason.
     let most = |c: &str| c.repeat(MOST_TEXT);
     let made = Made { key: u128::MAX, front: u64::MAX, name: "n".repeat(pepperhook_policy::MOST_NAME) };
+    let why = "w".repeat(MOST_WHY);
+    let trial = Trial { watch: Watch::Class("c".repeat(MOST_WHY)), time_s: u32::MAX, least: u16::MAX };
+    let undone = Undone { version: u64::MAX, made: made.clone(), by: u64::MAX, why: why.clone() };
     let steps = Steps {
         version: u64::MAX,
         made: made.clone(),
@@ -337,8 +341,9 @@
         old: most("a"),
         new: most("b"),
         first_ms: u32::MAX,
+        proof: Some(Proof { trial, before: Counts { of: u64::MAX, well: u64::MAX } }),
+        undoes: Some(undone),
     };
-    let why = "w".repeat(pepperhook_policy::MOST_WHY);
     let back = Change::Back { steps, by: u64::MAX, why: why.clone() };
     let body = back.encode().expect("it fits");
     assert_eq!(Change::decode(&body), Ok(back));
--- a/crates/policy/tests/steps.rs
+++ b/crates/policy/tests/steps.rs
@@ -6,7 +6,8 @@
 
 use pepperhook_agreement::{Command, Entry, Key, ORIGIN, Outcome, What};
 use pepperhook_policy::{
-    Around, Ask, Change, Effect, Fits, Governor, Made, Pace, Policy, SUBJECT, neighbours, tighter,
+    Around, Ask, Change, Counts, Effect, Fits, Governor, Made, Pace, Policy, SUBJECT, Sums, Trial, Watch,
+    neighbours, tighter,
 };
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::VecDeque;
@@ -92,6 +93,8 @@
     lates: u8,
     /// Entries at most: what is decided later is lost.
     entries: usize,
+    /// The change is on trial, and goes badly.
+    trial: bool,
     planted: Planted,
 }
 
@@ -118,6 +121,7 @@
             restarts,
             lates,
             entries,
+            trial: false,
             planted: Planted::Nothing,
         }
     }
@@ -126,6 +130,13 @@
         Means(self.refuses.filter(|f| *f == i).map(|_| &self.policies[1]))
     }
 
+    /// What all fronts know of service: worse since the second step was decided.
+    fn sums(w: &World) -> Sums {
+        let new = taken(w).any(|e| change(e).step() == "second");
+        let in_time = if new { Counts { of: 2_000, well: 1_890 } } else { Counts { of: 1_000, well: 990 } };
+        Sums { in_time, ..Sums::default() }
+    }
+
     fn pace() -> Pace {
         Pace { first_ms: 30_000, ..Pace::default() }
     }
@@ -229,6 +240,12 @@
             self.begin(&mut w, i);
             w.fronts[i].queue.clear();
             (w.fronts[i].goes, w.fronts[i].vouched, w.fronts[i].holds) = (Some(0), 1, true);
+            if self.trial {
+                w.fronts[i].governor.served(0, Sums::default());
+                w.fronts[i].now = LONG;
+                let sums = Self::sums(&w);
+                w.fronts[i].governor.served(LONG, sums);
+            }
             // The first tick tells it that the fleet agrees.
             let around = Around { agreed: true, leads: i == 2 };
             w.fronts[i].governor.tick(0, around, &self.means(i), &mut vec![]);
@@ -271,8 +288,11 @@
         match act {
             Act::Ask(i) => {
                 w.asked[i] = true;
+                let trial = Trial { watch: Watch::InTime, time_s: 60, least: 10 };
+                let trial = self.trial.then_some(trial);
                 let text = self.policies[1 + 2 * i].text().to_owned();
-                let ask = Ask { key: 100 + i as u128, name: "ana".into(), against: 1, text, dry_run: false };
+                let ask =
+                    Ask { key: 100 + i as u128, name: "ana".into(), against: 1, text, dry_run: false, trial };
                 let f = &mut w.fronts[i];
                 f.governor.ask(f.now, ask, &self.means(i), &mut out);
                 self.take(&mut w, i, out);
@@ -302,8 +322,12 @@
             }
             Act::Late(i) => {
                 w.lates += 1;
+                let sums = Self::sums(&w);
                 let f = &mut w.fronts[i];
                 f.now += LONG;
+                if self.trial {
+                    f.governor.served(f.now, sums);
+                }
                 f.governor.tick(f.now, Around { agreed: true, leads: i == 2 }, &self.means(i), &mut out);
                 self.take(&mut w, i, out);
             }
@@ -399,6 +423,13 @@
     all_is_well(Fleet::new([true, true], 1, 0, 0, 6), 40_000, &[NEW, FENCED]);
 }
 
+/// The new one makes service worse: it goes back by the same steps.
+#[test]
+fn a_change_on_trial_that_goes_badly() {
+    let fleet = Fleet { trial: true, ..Fleet::new([true, false], 0, 0, 1, 7) };
+    all_is_well(fleet, 1_000, &[NEW, OLD]);
+}
+
 /// Also one after the other: the first is undone, the second made.
 #[test]
 #[ignore = "730,000 states"]
--- a/crates/policy/tests/transcripts.rs
+++ b/crates/policy/tests/transcripts.rs
@@ -4,7 +4,9 @@
 //! of a second later, a hold lasts 3 s and is renewed for as long as a front is up and vouches for all that was decided.
 
 use pepperhook_agreement::{Command, Entry, Outcome, Registers, What};
-use pepperhook_policy::{Around, Ask, Change, Effect, Fits, Governor, Pace, Policy, SUBJECT};
+use pepperhook_policy::{
+    Around, Ask, Change, Counts, Effect, Fits, Governor, Pace, Policy, SUBJECT, Sums, Trial, Watch,
+};
 use std::fmt::Write;
 
 const STEP_MS: u64 = 100;
@@ -59,12 +61,16 @@
 struct World {
     said: String,
     now: u64,
+    begun: u64,
     state: Registers,
     log: Vec<(Entry, Outcome)>,
     flight: Vec<Command>,
     settled: u64,
     /// The voters clear nothing: nothing settles.
     clears: bool,
+    /// Requests so far, and of a hundred in a step how many are in time under the old policy and under another.
+    served: Counts,
+    in_time: (u64, u64),
     fronts: Vec<Front>,
 }
 
@@ -84,11 +90,14 @@
         Self {
             said: String::new(),
             now: 0,
+            begun: 0,
             state: Registers::default(),
             log: vec![],
             flight: vec![],
             settled: 0,
             clears: true,
+            served: Counts::default(),
+            in_time: (99, 99),
             fronts: (1..=3).map(front).collect(),
         }
     }
@@ -98,14 +107,13 @@
         let mut w = Self::empty();
         w.pass(5_000);
         w.said.clear();
-        w.now = 0;
         // Their clocks go on; what is shown begins at 0.
-        w.fronts.iter_mut().for_each(|f| f.holds_until = HOLD_MS);
+        w.begun = w.now;
         w
     }
 
     fn say(&mut self, what: &str) {
-        let _ = writeln!(self.said, "{:>5.1} s  {what}", self.now as f64 / 1_000.0);
+        let _ = writeln!(self.said, "{:>5.1} s  {what}", (self.now - self.begun) as f64 / 1_000.0);
     }
 
     fn note(&mut self, what: &str) {
@@ -197,6 +205,9 @@
                 self.say(&format!("front {} {what}", i + 1));
             }
         }
+        let old = self.fronts[0].governor.in_force().is_none_or(|(_, _, p)| p.text().contains("quota 40"));
+        self.served.of += 100;
+        self.served.well += if old { self.in_time.0 } else { self.in_time.1 };
         let all = self.log.len() as u64;
         let least = self.fronts.iter().filter(|f| f.held).map(|f| f.vouched).min().unwrap_or(all);
         if self.clears && least > self.settled {
@@ -207,6 +218,7 @@
             let (settled, f) = (self.settled, &mut self.fronts[i]);
             let mut out = vec![];
             if f.up {
+                f.governor.served(now, Sums { in_time: self.served, ..Sums::default() });
                 f.governor.settled(now, settled, &mut out);
                 f.governor.tick(now, Around { agreed: true, leads: i == 0 }, &f.means, &mut out);
             }
@@ -216,19 +228,21 @@
     }
 
     fn ask(&mut self, front: usize, name: &str, key: u128, against: u64, text: &str) {
-        self.ask_for(front, Ask { key, name: name.into(), against, text: text.into(), dry_run: false });
+        self.ask_for(
+            front,
+            Ask { key, name: name.into(), against, text: text.into(), dry_run: false, trial: None },
+        );
     }
 
     fn ask_for(&mut self, front: usize, ask: Ask) {
-        let dry = if ask.dry_run { "what would be if version" } else { "front to change version" };
-        self.say(&match ask.dry_run {
-            true => {
-                format!("{} asks front {front} {dry} {} were changed, key {}", ask.name, ask.against, ask.key)
-            }
-            false => {
-                format!("{} asks front {front} to change version {}, key {}", ask.name, ask.against, ask.key)
-            }
-        });
+        let (name, against, key) = (&ask.name, ask.against, ask.key);
+        let what = match (ask.dry_run, &ask.trial) {
+            (true, _) => format!("what would be if version {against} were changed"),
+            (false, None) => format!("to change version {against}"),
+            (false, Some(_)) => format!("to try a change of version {against}"),
+        };
+        let what = format!("{name} asks front {front} {what}, key {key}");
+        self.say(&what);
         let f = &mut self.fronts[front - 1];
         let mut out = vec![];
         f.governor.ask(self.now, ask, &f.means, &mut out);
@@ -385,7 +399,7 @@
     let mut w = World::new();
     let text = shifted()
         .replace("section rules", "section class live\naim 1s\npatience 6s\nlive yes\nsection rules");
-    w.ask_for(2, Ask { key: 7, name: "ana".into(), against: 1, text, dry_run: true });
+    w.ask_for(2, Ask { key: 7, name: "ana".into(), against: 1, text, dry_run: true, trial: None });
     w.pass(500);
     w.note("Nothing was proposed.");
     insta::assert_snapshot!(w.said);
@@ -409,7 +423,7 @@
     let mut w = World::new();
     w.note("Class replay is left out, class live is new: in between there is neither.");
     let text = TEXT.replace("section class replay\naim 800ms", "section class live\nlive yes\naim 1s");
-    w.ask_for(2, Ask { key: 7, name: "ana".into(), against: 1, text, dry_run: true });
+    w.ask_for(2, Ask { key: 7, name: "ana".into(), against: 1, text, dry_run: true, trial: None });
     insta::assert_snapshot!(w.said);
 }
 
@@ -425,3 +439,41 @@
     w.pass(1_000);
     insta::assert_snapshot!(w.said);
 }
+
+fn on_trial() -> Ask {
+    let trial = Some(Trial { watch: Watch::InTime, time_s: 10, least: 10 });
+    Ask { key: 7, name: "ana".into(), against: 1, text: shifted(), dry_run: false, trial }
+}
+
+#[test]
+fn a_trial_that_goes_badly() {
+    let mut w = World::new();
+    w.ask_for(2, on_trial());
+    w.note("The fronts know service only since 5 s ago. Ten seconds later:");
+    w.pass(10_000);
+    w.ask_for(2, on_trial());
+    w.note("Under the new policy 95 of 100 are in time, not 99.");
+    w.in_time.1 = 95;
+    w.pass(6_000);
+    w.rows(3);
+    w.pass(6_000);
+    insta::assert_snapshot!(w.said);
+}
+
+#[test]
+fn a_trial_that_goes_well_and_one_that_is_ended_early() {
+    let mut w = World::new();
+    w.pass(10_000);
+    w.ask_for(2, on_trial());
+    w.pass(12_000);
+    w.note("Another, ended by its operator. The same call ends none any more.");
+    w.ask_for(2, Ask { key: 8, against: 2, text: TEXT.into(), ..on_trial() });
+    w.pass(2_000);
+    for _ in 0..2 {
+        let mut out = vec![];
+        w.fronts[2].governor.keep(9, 3, &mut out);
+        w.carry_out(2, out);
+        w.pass(1_000);
+    }
+    insta::assert_snapshot!(w.said);
+}
