--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -2,28 +2,20 @@
 
 use crate::change::{Made, Undone};
 use crate::policy::{Difference, Policy};
+use crate::trial::Trial;
 use pepperhook_agreement::Command;
 use std::fmt;
 
 /// Bytes of an operator's name at most.
 pub const MOST_NAME: usize = 64;
 
-/// What a command of the log came to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Outcome {
-    /// The register has its body.
-    Taken,
-    /// It changed nothing.
-    Not,
-}
-
 /// Times of a governor, ms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Pace {
     /// A first step that stood so long without being settled is undone. Long against the hold, so that a front that is down
     /// does not undo a change.
     pub first_ms: u32,
-    /// Fronts other than the author and the leader drive a step so much later, and up to four times that.
+    /// Where the leader does not drive a step the author does after half this time, the others after one to four times it.
     pub drive_ms: u64,
     /// What was proposed is proposed again after this time if the register has not moved.
     pub again_ms: u64,
@@ -50,6 +42,8 @@
     pub text: String,
     /// Only says what would be.
     pub dry_run: bool,
+    /// Undo the change if service becomes worse by it.
+    pub trial: Option<Trial>,
 }
 
 /// Why a front cannot go by a policy.
@@ -112,6 +106,11 @@
         /// Who asked for it.
         made: Made,
     },
+    /// The trial of this version is being ended: it stands. [`Answer::Stands`] follows for who asked for it.
+    Keeping {
+        /// The version.
+        version: u64,
+    },
     /// The document is none, or changes what it may not; why, with lines where there are any.
     Refused(String),
     /// This front cannot go by it.
@@ -159,7 +158,10 @@
                     "version {version} by {made} is under way, step {step}: ask again when it is through"
                 )
             }
-            Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::Keeping { version } => {
+                write!(f, "the trial of version {version} is being ended, it stands")
+            }
+            Self::Refused(why) => write!(f, "refused: {}", why.trim_end()),
             Self::Unfit(Unfit { front, why }) => write!(f, "refused: front {front} cannot go by it: {why}"),
             Self::NotAgreed => write!(f, "the fleet has agreed on no policy that this front can read"),
             Self::Busy => write!(f, "too many changes wait at this front"),
