--- a/src/decide.rs
+++ b/src/decide.rs
@@ -173,10 +173,7 @@
         (self.steps, self.set) = (all_steps(&set), set);
         let servers: Vec<ServerId> = self.servers.keys().copied().collect();
         // Rates that are told otherwise are no change of demand: readings since then stand.
-        for id in &servers {
-            let own = self.servers.get(id).map_or(0.0, |s| self.asked_kb(s));
-            self.servers.entry(*id).and_modify(|s| s.own_kb = own);
-        }
+        self.servers.values_mut().for_each(|s| s.own_kb = own_kb(&self.set, s, &self.sessions));
         let sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
         for id in sessions {
             self.fit(now, id, out);
@@ -242,21 +239,10 @@
         rate(&self.set, session.class, rung) * if joins { self.set.join } else { 1.0 }
     }
 
-    /// Own rates on a server.
-    fn asked_kb(&self, server: &Server) -> f64 {
-        let mut streams = BTreeSet::new();
-        let mut own = 0.0;
-        for s in server.sessions.iter().filter_map(|id| self.sessions.get(id)) {
-            let alone = !self.set.classes[s.class].live || streams.insert((s.wish.title, s.class, s.rung));
-            own += rate(&self.set, s.class, s.rung) * if alone { 1.0 } else { self.set.join };
-        }
-        own
-    }
-
     /// Brings the account of own rates on a server up to date.
     fn resum(&mut self, now: Time, id: ServerId) {
-        let Some(own) = self.servers.get(&id).map(|s| self.asked_kb(s)) else { return };
         let Some(server) = self.servers.get_mut(&id) else { return };
+        let own = own_kb(&self.set, server, &self.sessions);
         let change = own - server.own_kb;
         server.own_kb = own;
         if change != 0.0 {
@@ -565,12 +551,9 @@
     /// After a change to lower tops: at each look one in five of those above theirs goes there, in one
     /// switch, the highest first. All at once would be a burst at the servers.
     fn lower(&mut self, now: Time, out: &mut Vec<Action>) {
-        let over = |s: &Session| (s.phase == Phase::Playing).then(|| s.rung.checked_sub(s.top)).flatten();
-        let over = self.sessions.iter().filter_map(|(id, s)| Some((over(s).filter(|n| *n > 0)?, *id)));
-        let mut over: Vec<_> = over.collect();
-        over.sort_by_key(|(by, _)| std::cmp::Reverse(*by));
+        let mut over = above(&self.sessions);
         over.truncate((FRACTION * over.len() as f64).ceil() as usize);
-        over.into_iter().for_each(|(_, id)| self.turn(now, id, u8::MAX, out));
+        over.into_iter().for_each(|id| self.turn(now, id, u8::MAX, out));
     }
 
     /// Own part of the shortage on a server's link and on its rack's uplink is shed at once, in proportion:
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use crate::window::SlidingSum;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Phase {
@@ -213,6 +213,25 @@
     set.classes.iter().map(|c| worthwhile(c, &set.ladder)).collect()
 }
 
+/// Own rates on a server, kB a second: who joins a live stream adds a part.
+pub fn own_kb(set: &Settings, server: &Server, sessions: &BTreeMap<SessionId, Session>) -> f64 {
+    let mut streams = BTreeSet::new();
+    let mut own = 0.0;
+    for s in server.sessions.iter().filter_map(|id| sessions.get(id)) {
+        let alone = !set.classes[s.class].live || streams.insert((s.wish.title, s.class, s.rung));
+        own += rate(set, s.class, s.rung) * if alone { 1.0 } else { set.join };
+    }
+    own
+}
+
+/// Sessions that play above their top, the highest above it first.
+pub fn above(sessions: &BTreeMap<SessionId, Session>) -> Vec<SessionId> {
+    let over = sessions.iter().filter(|(_, s)| s.phase == Phase::Playing && s.rung > s.top);
+    let mut over: Vec<_> = over.map(|(id, s)| (s.rung - s.top, *id)).collect();
+    over.sort_by_key(|(by, _)| std::cmp::Reverse(*by));
+    over.into_iter().map(|(_, id)| id).collect()
+}
+
 /// Streams that a server runs at most; an unknown kind counts as the last one.
 pub fn streams(set: &Settings, server: &Server) -> f64 {
     let kinds = &set.kind_streams;
