--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -322,25 +322,18 @@
     }
 
     fn applied(&mut self, now_ms: u64, entry: &Entry, outcome: Outcome, out: &mut Vec<Said>) {
-        let outcome = match outcome {
-            Outcome::Taken => pepperhook_policy::Outcome::Taken,
-            _ => pepperhook_policy::Outcome::Not,
-        };
         let mut effects = Vec::new();
         let fits = Bounded(&*self.means, self.hold_ms);
-        self.governor.applied(now_ms, entry, outcome, &fits, &mut effects);
+        self.governor.applied(now_ms, entry, &outcome, &fits, &mut effects);
         self.carry_out(now_ms, entry.number, effects, out);
     }
 
     fn replaced(&mut self, now_ms: u64, out: &mut Vec<Said>) {
         let registers = self.node.registers();
-        let register = registers.get(POLICY).map(|r| (r.number, r.body.clone()));
+        let entry = registers.get(POLICY).map_or(registers.number(), |r| r.number);
         let mut effects = Vec::new();
         let fits = Bounded(&*self.means, self.hold_ms);
-        let number = registers.number();
-        let at = register.as_ref().map(|(number, body)| (*number, body.as_slice()));
-        self.governor.replaced(now_ms, number, at, &fits, &mut effects);
-        let entry = at.map_or(number, |(number, _)| number);
+        self.governor.replaced(now_ms, registers, &fits, &mut effects);
         self.carry_out(now_ms, entry, effects, out);
     }
 
--- a/crates/front/src/console_policy.rs
+++ b/crates/front/src/console_policy.rs
@@ -74,6 +74,7 @@
         against: against.ok_or_else(|| wrong("'against' is the version that was looked at"))?,
         text: String::from_utf8(bytes.to_vec()).map_err(|_| wrong("a policy is UTF-8 text"))?,
         dry_run: yes(query, "dry-run"),
+        trial: None,
     };
     let key = ask.key;
     let answer = agreed::ask(shell, ask, yes(query, "wait")).await;
@@ -92,6 +93,7 @@
         Answer::Stands { .. } => done(200, "stands"),
         Answer::Dry { .. } => done(200, "dry-run"),
         Answer::Same { .. } => done(200, "same"),
+        Answer::Keeping { .. } => done(202, "keeping"),
         Answer::Undone(_) => not(409, "undone", "Undone"),
         Answer::Conflict { .. } => not(409, "conflict", "Conflict"),
         Answer::UnderWay { .. } => not(409, "under-way", "A change is under way"),
--- a/crates/front/src/engine/tests/policy.rs
+++ b/crates/front/src/engine/tests/policy.rs
@@ -133,7 +133,7 @@
         s.classes.truncate(2);
         c.truncate(2);
         s.classes.push(pepperhook::Class { floor: 1, ..s.classes[0].clone() });
-        c.push(ClassSettings { name: "extra".into(), patience: 2 * S, ingest: false });
+        c.push(ClassSettings { name: "extra".into(), patience: 2 * S, ingest: false, closed: false });
         s.classes[1].value = 9.0;
         (s.tenants[0].quota_per_s, *t) = (5.0, vec!["b".into()]);
     });
