--- a/crates/agreement/src/journal.rs
+++ b/crates/agreement/src/journal.rs
@@ -229,8 +229,8 @@
         Ok(self.lock().promise)
     }
 
-    // The log ends by a command of ours and is folded by the next configuration: no stop sign, trimming or snapshot of
-    // omnipaxos' own is ever used, and messages that ask for one are refused.
+    // The log ends by a command of ours and is folded by the next configuration: no stop sign, trimming or snapshot
+    // of omnipaxos' own is ever used, and messages that ask for one are refused.
 
     fn set_stopsign(&mut self, sign: Option<StopSign>) -> StorageResult<()> {
         sign.map_or(Ok(()), |_| Err("stop signs are not used".into()))
--- a/crates/agreement/src/store.rs
+++ b/crates/agreement/src/store.rs
@@ -1,5 +1,5 @@
-//! The store of a voter: who it is, what it promised and accepted, and what its configuration began from. On `redb`; each
-//! write is one transaction that is on the disk when the call returns. Nothing else of this crate does I/O.
+//! The store of a voter: who it is, what it promised and accepted, and what its configuration began from. On `redb`;
+//! each write is one transaction that is on the disk when the call returns. Nothing else of this crate does I/O.
 
 use crate::types::{Command, Config};
 use redb::{Database, DatabaseError, Durability, ReadableTable, TableDefinition};
@@ -75,8 +75,8 @@
     /// Another process has it, or this one.
     #[error("the store is in use")]
     InUse,
-    /// The file is not a store of this form, is torn, or contradicts itself. To go on, put it out of the way: the front is
-    /// then another voter.
+    /// The file is not a store of this form, is torn, or contradicts itself. To go on, put it out of the way: the
+    /// front is then another voter.
     #[error("not a store, or a torn one: {0}")]
     Foreign(String),
     /// The disk refused. What is on it is not known until it is opened again.
@@ -168,8 +168,8 @@
         opened.unwrap_or_else(|_| Err(StoreError::Foreign("unreadable".into())))
     }
 
-    /// Writes all or nothing, and returns when it is on the disk. After an error the store is to be written no more: whether
-    /// this write is there shows when it is opened again.
+    /// Writes all or nothing, and returns when it is on the disk. After an error the store is to be written no more:
+    /// whether this write is there shows when it is opened again.
     ///
     /// # Errors
     ///
@@ -192,8 +192,8 @@
 ) -> Result<R, StoreError> {
     let mut transaction = base.begin_write()?;
     transaction.set_durability(Durability::Immediate);
-    // Without it, a damaged last commit is taken for one that was never finished and the one before is gone by: a promise
-    // would be forgotten without a word.
+    // Without it, a damaged last commit is taken for one that was never finished and the one before is gone by: a
+    // promise would be forgotten without a word.
     transaction.set_two_phase_commit(true);
     let answer = {
         let mut meta = transaction.open_table(META)?;
@@ -249,7 +249,8 @@
     postcard::to_stdvec(what).map_err(|e| StoreError::Io(e.to_string()))
 }
 
-/// Makes a store beside `path` and puts it there whole: a file at `path` that is not a store was never one of ours half made.
+/// Makes a store beside `path` and puts it there whole: a file at `path` that is not a store was never one of ours
+/// half made.
 fn make(path: &Path, draw: u64) -> Result<(), StoreError> {
     let beside: PathBuf = {
         let mut name =
--- a/crates/agreement/src/store/tests.rs
+++ b/crates/agreement/src/store/tests.rs
@@ -1,4 +1,5 @@
-//! The store on a disk that loses power at any of its writes: what was not synced is there in part, torn, or not at all.
+//! The store on a disk that loses power at any of its writes: what was not synced is there in part, torn, or not at
+//! all.
 
 use super::*;
 use crate::types::{Key, Subject, What};
@@ -120,8 +121,8 @@
     vec![Op::Promise(n.to_be_bytes().to_vec()), Op::Log { from, commands: vec![command] }]
 }
 
-/// Power fails at each write of a few transactions in turn: the store opens, with the last one that was confirmed, or with
-/// the one that was under way, and with nothing in between.
+/// Power fails at each write of a few transactions in turn: the store opens, with the last one that was confirmed, or
+/// with the one that was under way, and with nothing in between.
 #[test]
 fn power_may_fail_at_any_write() {
     let disk = Disk::default();
@@ -143,11 +144,11 @@
     }
     let whole = disk.lock().seen.clone();
     let (mut before, mut under_way, mut done) = (0, 0, false);
-    // Each write with four draws of what is left of the loose ones.
+    // Each write with two draws of what is left of the loose ones.
     let mut turn = 0;
     while !done {
         let mut rng = StdRng::seed_from_u64(turn);
-        let left = turn / 4;
+        let left = turn / 2;
         let disk = Disk::of(whole.clone());
         let (store, kept) = open(&disk);
         disk.lock().left = Some(left);
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -1,17 +1,19 @@
-//! One voter in one configuration, around omnipaxos. Without I/O: ticks, messages and the disk's answers are handed in.
+//! One voter in one configuration, around omnipaxos. Without I/O: ticks, messages and the disk's answers are handed
+//! in.
 //!
-//! - **Nothing is said before it is synced.** Whatever comes up in a step waits for the step's own write and all before it.
-//!   Heartbeats alone do not wait: a ballot in them makes a voter choose a higher one of its own and no more, and its own
-//!   it has synced before it asks for promises. A voter whose disk has not answered for [`DISK_PATIENCE`] ticks falls
-//!   silent altogether, so that another leads.
-//! - **Order.** omnipaxos takes links for ordered and free of doubles: a doubled old `AcceptSync` would take entries out of
-//!   a log that were counted as accepted. Each message therefore bears the lives (boots) of both ends and a number; what
-//!   is older than the last one, or meant for an earlier life of its receiver, is refused.
-//! - **Loss.** omnipaxos sends again what prepares a round, not what is lost within it. Each message says how far its sender
-//!   is; a follower that is behind, or sees its leader's entries undecided, with nothing moving for [`RESEND_TICKS`],
-//!   asks to be synchronized anew.
-//! - **Left out.** A voter that promised a higher ballot of someone who is gone (itself before a restart, say) takes nothing
-//!   from a leader that others follow, and the leader has no cause of its own to rise. After [`PASSED_OVER`] ticks it does.
+//! - **Nothing is said before it is synced.** Whatever comes up in a step waits for the step's own write and all
+//!   before it. Heartbeats alone do not wait: a ballot in them makes a voter choose a higher one of its own and no
+//!   more, and its own it has synced before it asks for promises. A voter whose disk has not answered for
+//!   [`DISK_PATIENCE`] ticks falls silent altogether, so that another leads.
+//! - **Order.** omnipaxos takes links for ordered and free of doubles: a doubled old `AcceptSync` would take entries
+//!   out of a log that were counted as accepted. Each message therefore bears the lives (boots) of both ends and a
+//!   number; what is older than the last one, or meant for an earlier life of its receiver, is refused.
+//! - **Loss.** omnipaxos sends again what prepares a round, not what is lost within it. Each message says how far its
+//!   sender is; a follower that is behind, or sees its leader's entries undecided, with nothing moving for
+//!   [`RESEND_TICKS`], asks to be synchronized anew.
+//! - **Left out.** A voter that promised a higher ballot of someone who is gone (itself before a restart, say) takes
+//!   nothing from a leader that others follow, and the leader has no cause of its own to rise. After [`PASSED_OVER`]
+//!   ticks it does.
 //! - A configuration of one voter, which omnipaxos does not take, is its log alone: written is decided.
 
 use crate::journal::{Journal, Shared, size};
@@ -27,7 +29,8 @@
 
 mod sound;
 
-/// Ticks of a round of heartbeats: a leader that is silent for one to two of them is replaced. At a tick of 50 ms, 250 ms.
+/// Ticks of a round of heartbeats: a leader that is silent for one to two of them is replaced. At a tick of 50 ms,
+/// 250 ms.
 pub const ELECTION_TICKS: u64 = 5;
 /// Ticks after which what was not answered is sent again, and a follower that is behind asks anew. 500 ms.
 pub const RESEND_TICKS: u64 = 10;
@@ -35,8 +38,8 @@
 pub const PASSED_OVER: u64 = 40;
 /// Ticks that the disk may take for a write before the voter falls silent until it answers. 2 s.
 pub const DISK_PATIENCE: u64 = 40;
-/// Bytes of log from which on no [`What::Put`] is taken: the log is to be folded by then. A follower that has none of it
-/// is sent all of it in one message.
+/// Bytes of log from which on no [`What::Put`] is taken: the log is to be folded by then. A follower that has none of
+/// it is sent all of it in one message.
 pub const MOST_LOG: usize = 256 * 1024;
 /// Bytes of a message between voters at most.
 pub const MOST_SAID: usize = MOST_LOG + 128 * 1024;
@@ -93,7 +96,7 @@
 /// Why a message was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refused {
-    /// It is of this configuration, or of another one with the same number. Whoever is behind is to learn.
+    /// It is of another configuration, which may bear the same number. Whoever is behind is to learn.
     #[error("of configuration {number}")]
     OtherConfig {
         /// The sender's.
@@ -211,9 +214,9 @@
 }
 
 impl Voter {
-    /// A voter that goes on from `kept`. One is made for a configuration in one opening of the store, not more: messages
-    /// are ordered by [`KeptLog::boots`]. What was decided comes out again from index 0. `seed` sets the tick of its first
-    /// election apart from others'.
+    /// A voter that goes on from `kept`. One is made for a configuration in one opening of the store, not more:
+    /// messages are ordered by [`KeptLog::boots`]. What was decided comes out again from index 0. `seed` sets the
+    /// tick of its first election apart from others'.
     ///
     /// # Errors
     ///
@@ -344,8 +347,8 @@
         Ok(())
     }
 
-    /// Proposes: into the leader's log, or on to the leader, without a word on whether it came there. False if no leader is
-    /// known, too much is undecided, or the log is to be folded first; try again later.
+    /// Proposes: into the leader's log, or on to the leader, without a word on whether it came there. False if no
+    /// leader is known, too much is undecided, or the log is to be folded first; try again later.
     pub fn append(&mut self, command: Command) -> bool {
         if self.stopped.is_some() || !sound::command(&command) || !self.has_room(&[&command]) {
             return false;
@@ -473,8 +476,8 @@
         self.flights.clear();
     }
 
-    /// omnipaxos has no other answer to what it holds for impossible than to panic. Messages are checked for all that is
-    /// known to lead there; for what is not known the voter stops, and the front serves on as a learner.
+    /// omnipaxos has no other answer to what it holds for impossible than to panic. Messages are checked for all that
+    /// is known to lead there; for what is not known the voter stops, and the front serves on as a learner.
     fn guarded<R>(&mut self, f: impl FnOnce(&mut OmniPaxos<Command, Shared>) -> R) -> Option<R> {
         let engine = self.engine.as_mut()?;
         match catch_unwind(AssertUnwindSafe(|| f(engine))) {
@@ -522,7 +525,8 @@
         out.push(VoterOut::Say { to, message: bytes });
     }
 
-    /// A follower that is behind its leader, or whose leader waits for someone, and nothing has moved: something was lost.
+    /// A follower that is behind its leader, or whose leader waits for someone, and nothing has moved: something was
+    /// lost.
     fn ask_if_behind(&mut self) {
         let Some((leader, true)) = self.engine.as_ref().and_then(OmniPaxos::get_current_leader) else {
             return;
--- a/crates/agreement/src/voter/sound.rs
+++ b/crates/agreement/src/voter/sound.rs
@@ -1,5 +1,5 @@
-//! What of a message is checked before omnipaxos sees it: all that its code indexes, adds to, subtracts from or asserts
-//! (0.2.4). It takes messages for those of its own kind.
+//! What of a message is checked before omnipaxos sees it: all that its code indexes, adds to, subtracts from or
+//! asserts (0.2.4). It takes messages for those of its own kind.
 
 use super::{Ballot, Command, MOST_BODY, MOST_SAID, MOST_VOTERS, Message, Peer, Refused, Voter, What, size};
 use omnipaxos::messages::ballot_leader_election::HeartbeatMsg;
@@ -103,7 +103,8 @@
             PaxosMsg::Decide(m) => ensure(leads(&m.n) && number(&m.seq_num)),
             PaxosMsg::ProposalForward(commands) => {
                 ensure(commands.iter().all(command))?;
-                // Who does not lead would hand it on, and two that take each other for the leader for ever; or keep it.
+                // Who does not lead would hand it on, and two that take each other for the leader for ever; or keep
+                // it.
                 if engine.get_current_leader() != Some((self.me, true)) {
                     return Err(Refused::NotLeader);
                 }
--- a/crates/agreement/tests/voter.rs
+++ b/crates/agreement/tests/voter.rs
@@ -11,7 +11,8 @@
 /// Ticks within which, all being connected, what is proposed is decided by everyone: 10 s.
 const WITHIN: u64 = 200;
 
-/// Plays a seed: 40 s of trouble, then calm. What went wrong, and ticks to the first entry that everyone decided in calm.
+/// Plays a seed: 40 s of trouble, then calm. What went wrong, and ticks to the first entry that everyone decided in
+/// calm.
 fn play(seed: u64, lying: bool) -> (Vec<String>, u64, u64) {
     let mut of = StdRng::seed_from_u64(!seed);
     let count = [3, 5, 3, 5, 3, 5, 2, 4, 7][of.random_range(0..9)];
--- a/crates/agreement/tests/voter_bytes.rs
+++ b/crates/agreement/tests/voter_bytes.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// All that a leader ever said, again and in order, to a follower that has restarted meanwhile. omnipaxos would take the
-/// first log that it was sent for the present one, and forget what it told the leader that it has.
+/// All that a leader ever said, again and in order, to a follower that has restarted meanwhile. omnipaxos would take
+/// the first log that it was sent for the present one, and forget what it told the leader that it has.
 #[test]
 fn what_was_meant_for_an_earlier_life_is_refused() {
     let mut world = World::new(3, 1, FAIR);
@@ -213,7 +213,8 @@
     }
 }
 
-/// True messages with fields turned and a head that is in order: no voter may panic within, though it may be led astray.
+/// True messages with fields turned and a head that is in order: no voter may panic within, though it may be led
+/// astray.
 #[test]
 fn turned_fields() {
     let mut rng = StdRng::seed_from_u64(6);
--- a/crates/agreement/tests/voter_ends.rs
+++ b/crates/agreement/tests/voter_ends.rs
@@ -167,7 +167,8 @@
     }
 }
 
-/// Printed with `--nocapture`: work of three voters for an entry, from append to decided by all, links and disks aside.
+/// Printed with `--nocapture`: work of three voters for an entry, from append to decided by all, links and disks
+/// aside.
 #[test]
 fn what_an_append_takes() {
     let mut world = World::new(3, 1, voters::Weather { delay: 1, disk: 0, ..FAIR });
--- a/crates/agreement/tests/voters/mod.rs
+++ b/crates/agreement/tests/voters/mod.rs
@@ -1,5 +1,5 @@
-//! Voters in one process over a network and disks that lose, delay, double and cut, all drawn from one seed; and a checker
-//! of what they decide that shares nothing with them.
+//! Voters in one process over a network and disks that lose, delay, double and cut, all drawn from one seed; and a
+//! checker of what they decide that shares nothing with them.
 
 use pepperhook_agreement::store::{KeptLog, Op};
 use pepperhook_agreement::voter::{Refused, Stopped, Voter, VoterOut};
