--- a/crates/agreement/src/hold.rs
+++ b/crates/agreement/src/hold.rs
@@ -109,6 +109,7 @@
     /// Raises the floor to what the voter's disk has as decided, once all of the floor before it is cleared. Floors that
     /// rose with every entry would leave fronts behind for good while entries come fast.
     pub fn raise(&mut self, now_ms: u64, durable: u64) {
+        self.grants.retain(|_, g| now_ms < g.until_ms);
         if durable > self.floor && self.cleared(now_ms) == Some(self.floor) {
             self.floor = durable;
         }
