--- a/crates/agreement/tests/fleet.rs
+++ b/crates/agreement/tests/fleet.rs
@@ -5,6 +5,9 @@
 use pepperhook_agreement::{Answer, Note};
 use rand::Rng;
 use sim::{HOLD_MS, World};
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Everything stands again within this after the last fault, milliseconds: holds that are in nobody's hands run out,
 /// voters are admitted, catch up and put in the place of former ones.
@@ -37,12 +40,13 @@
                 world.cut.extend([(a, b), (b, a)]);
             }
             7 => world.cut.clear(),
-            8 => world.copy_disk(a),
+            8 => (1..=n).for_each(|f| world.copy_disk(f)),
             9 if up(world, a) && all_there => {
                 // An older copy, where all others remember the later one.
                 let loss = std::mem::replace(&mut world.loss, 0.0);
                 world.cut.clear();
                 world.pass(1_500);
+                let a = voters[a as usize % voters.len()].front;
                 world.kill(a);
                 world.restart_older(a);
                 world.pass(3_000);
@@ -91,7 +95,10 @@
     }
 }
 
-fn play(seed: u64, n: u64, voters: u64, rounds: usize) -> (u64, u64) {
+/// Entries, how long it took to heal, and what fronts noted, by kind.
+type Played = (u64, u64, BTreeMap<String, usize>);
+
+fn play(seed: u64, n: u64, voters: u64, rounds: usize) -> Played {
     let loss = [0.0, 0.2, 0.5][seed as usize % 3];
     let mut world = World::new(n, voters, seed, loss);
     world.pass(3_000);
@@ -127,44 +134,53 @@
             }
         }
     }
-    (world.checker.len(), took.unwrap_or(0))
+    let mut notes = BTreeMap::new();
+    for (.., note) in &world.notes {
+        let kind = format!("{note:?}").chars().take_while(char::is_ascii_alphabetic).collect();
+        *notes.entry(kind).or_insert(0) += 1;
+    }
+    (world.checker.len(), took.unwrap_or(0), notes)
 }
 
 fn number(name: &str, otherwise: u64) -> u64 {
     std::env::var(name).ok().and_then(|s| s.parse().ok()).unwrap_or(otherwise)
 }
 
-fn play_all(seeds: std::ops::Range<u64>, n: u64, voters: u64, rounds: usize) {
-    let next = std::sync::atomic::AtomicU64::new(seeds.start);
+fn play_all(seeds: Range<u64>, n: u64, voters: u64, rounds: usize) -> BTreeMap<String, usize> {
+    let next = AtomicU64::new(seeds.start);
     let threads = std::thread::available_parallelism().map_or(2, usize::from).min(6);
-    let (mut entries, mut longest) = (0, 0);
+    let (mut entries, mut longest, mut notes) = (0, 0, BTreeMap::new());
     std::thread::scope(|scope| {
-        let workers: Vec<_> = (0..threads)
-            .map(|_| {
-                scope.spawn(|| {
-                    let mut sum = (0, 0);
-                    loop {
-                        let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                        if seed >= seeds.end {
-                            return sum;
-                        }
-                        let (entries, took) = play(seed, n, voters, rounds);
-                        sum = (sum.0 + entries, u64::max(sum.1, took));
-                    }
-                })
-            })
-            .collect();
+        let work = || {
+            let mut played = Vec::new();
+            loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end {
+                    return played;
+                }
+                played.push(play(seed, n, voters, rounds));
+            }
+        };
+        let workers: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
         for w in workers {
-            let (e, l) = w.join().unwrap_or_else(|e| std::panic::resume_unwind(e));
-            (entries, longest) = (entries + e, longest.max(l));
+            for (e, took, noted) in w.join().unwrap_or_else(|e| std::panic::resume_unwind(e)) {
+                (entries, longest) = (entries + e, longest.max(took));
+                noted.into_iter().for_each(|(kind, n)| *notes.entry(kind).or_insert(0) += n);
+            }
         }
     });
-    println!("{} seeds, {n} fronts: {entries} entries, healed within {longest} ms", seeds.end - seeds.start);
+    let count = seeds.end - seeds.start;
+    println!("{count} seeds, {n} fronts: {entries} entries, healed within {longest} ms, {notes:?}");
+    notes
 }
 
 #[test]
 fn nine_fronts_agree_whatever_happens() {
-    play_all(1..37, 9, 5, 25);
+    let notes = play_all(1..37, 9, 5, 25);
+    // The faults did happen: voters came and went, disks failed, stores were lost and were older copies.
+    for kind in ["Votes", "Left", "Disk", "Replaces", "OldStore"] {
+        assert!(notes.get(kind).is_some_and(|n| *n > 0), "{kind}: {notes:?}");
+    }
 }
 
 #[test]
@@ -199,6 +215,32 @@
     assert_eq!(world.checker.wrong, Vec::<String>::new());
 }
 
+/// An older copy of a store has forgotten promises: it is refused, put away, and its front votes again as another voter.
+#[test]
+fn an_older_copy_of_a_store_does_not_vote() {
+    let mut world = World::new(9, 5, 4, 0.0);
+    assert!(world.until(20_000, |w| w.all_hold()).is_some(), "{}", world.report());
+    world.copy_disk(2);
+    for n in 0..5 {
+        world.put(7, n, 100);
+        world.pass(500);
+    }
+    world.kill(2);
+    assert!(world.restart_older(2));
+    assert!(world.until(20_000, World::converged).is_some(), "{}", world.report());
+    let noted = |note: fn(&Note) -> bool| world.notes.iter().any(|(_, me, n)| *me == 2 && note(n));
+    assert!(noted(|n| *n == Note::OldStore) && noted(|n| matches!(n, Note::Replaces { .. })));
+    assert!(world.node(2).rows(0).votes && world.checker.wrong.is_empty());
+    // The same store, not an older copy of it, is taken.
+    let (notes, config) = (world.notes.len(), world.config());
+    world.kill(3);
+    world.restart(3);
+    assert!(world.until(20_000, World::converged).is_some(), "{}", world.report());
+    assert!(
+        world.notes[notes..].iter().all(|(.., n)| matches!(n, Note::Votes(_))) && world.config() == config
+    );
+}
+
 /// Without a majority nothing is decided and holds end; with it all goes on.
 #[test]
 fn a_majority_away_stops_decisions_and_ends_holds() {
--- a/crates/agreement/tests/hold_model.rs
+++ b/crates/agreement/tests/hold_model.rs
@@ -326,7 +326,12 @@
 fn check(model: Holds) -> usize {
     let most = std::env::var("HOLD_STATES").ok().and_then(|s| s.parse().ok()).unwrap_or(usize::MAX);
     let checker = model.checker().threads(4).target_state_count(most).spawn_bfs().join();
-    println!("depth {} unique {} total {}", checker.max_depth(), checker.unique_state_count(), checker.state_count());
+    println!(
+        "depth {} unique {} total {}",
+        checker.max_depth(),
+        checker.unique_state_count(),
+        checker.state_count()
+    );
     checker.assert_properties();
     checker.unique_state_count()
 }
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -115,6 +115,9 @@
     voters: Vec<u64>,
     judge_every: u64,
     next_key: u128,
+    /// Some of what was said, for tests of hostile bytes.
+    pub heard: Vec<Vec<u8>>,
+    pub listen: bool,
 }
 
 impl World {
@@ -163,6 +166,8 @@
             voters: (1..=voters).collect(),
             judge_every: if n > 20 { 100 } else { STEP_MS },
             next_key: 0,
+            heard: Vec::new(),
+            listen: false,
         };
         (1..=n).for_each(|me| world.restart(me));
         world
@@ -371,6 +376,9 @@
 
     fn post(&mut self, me: u64, to: u64, message: Vec<u8>) {
         assert!(message.len() <= pepperhook_agreement::wire::MOST_MESSAGE);
+        if self.listen && self.heard.len() < 4_000 {
+            self.heard.push(message.clone());
+        }
         (self.datagrams, self.bytes) = (self.datagrams + 1, self.bytes + message.len() as u64);
         if !self.fronts.contains_key(&to) || self.random.random_bool(self.loss) {
             return;
