--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -142,6 +142,9 @@
     look_ms: u64,
     look_soon: bool,
     last_look_ms: u64,
+    /// Answers since the last question, and how many of a thousand came lately.
+    answers: u32,
+    heard_of: u64,
     // A voter's.
     genesis: Option<Genesis>,
     seat: Option<Box<Seat>>,
@@ -194,6 +197,8 @@
             look_ms: now_ms.saturating_add(random.random_range(0..=s.look_ms)),
             look_soon: false,
             last_look_ms: 0,
+            answers: 0,
+            heard_of: 1_000,
             genesis: None,
             seat: None,
             begun: None,
@@ -215,7 +220,7 @@
             next_replace_ms: now_ms,
             pushed: (0, 0),
             again: VecDeque::new(),
-            may_again: Bucket::new(now_ms, 40, 20),
+            may_again: Bucket::new(now_ms, 100, 40),
             notes: Vec::new(),
             random,
             s,
--- a/crates/agreement/src/node/front.rs
+++ b/crates/agreement/src/node/front.rs
@@ -67,6 +67,10 @@
 
     fn look(&mut self, now_ms: u64, out: &mut Vec<Out>) {
         (self.look_soon, self.last_look_ms) = (false, now_ms);
+        let whom = self.whom();
+        let came = u64::from(self.answers).saturating_mul(1_000) / (whom.len() as u64).max(1);
+        self.heard_of = (self.heard_of * 7 + came.min(1_000)) / 8;
+        self.answers = 0;
         self.question = self.question.saturating_add(1);
         if self.asked.len() >= MOST_ASKED {
             self.asked.pop_front();
@@ -74,7 +78,7 @@
         self.asked.push_back((self.question, now_ms));
         let (question, vouched) = (self.question, self.hold.vouched());
         let store = self.id.filter(|_| !self.stopped).map_or(0, |v| v.store);
-        for to in self.whom() {
+        for to in whom {
             self.say(now_ms, to, &Message::Look { question, vouched, store }, out);
         }
         if let (Some(id), Some((since, answer))) =
@@ -85,6 +89,11 @@
         }
     }
 
+    /// Whether more than one in twenty messages seems to be lost, here or there. A voter that is down looks the same.
+    pub(super) fn is_lossy(&self) -> bool {
+        self.heard_of < 900
+    }
+
     pub(super) fn send_proposals(&mut self, now_ms: u64, out: &mut Vec<Out>) {
         if self.proposals.is_empty() {
             return;
@@ -251,6 +260,7 @@
         answer: Granted,
         out: &mut Vec<Out>,
     ) {
+        self.answers = self.answers.saturating_add(1);
         let (number, origin) = (self.registers.number(), self.registers.origin());
         let voter = VoterId { front: from, store };
         let votes = self.registers.config().is_some_and(|c| c.voters.contains(&voter));
--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -310,9 +310,17 @@
             self.parcels.send(now_ms, to.front, bytes);
             return;
         }
-        // What is lost costs the voters a resend after half a second; a double they refuse by its number.
-        if !urgent && self.may_again.take(now_ms) {
-            self.again.push_back((now_ms.saturating_add(AGAIN_MS), to.front, bytes.clone()));
+        // What is lost costs the voters a resend after half a second, and heartbeats the leader; a double they refuse by
+        // its number.
+        let copies = match (urgent, self.is_lossy()) {
+            (true, false) => 0,
+            (true, true) | (false, false) => 1,
+            (false, true) => 2,
+        };
+        for copy in 1..=copies {
+            if self.may_again.take(now_ms) {
+                self.again.push_back((now_ms.saturating_add(copy * AGAIN_MS), to.front, bytes.clone()));
+            }
         }
         out.push(Out::Send { to: to.front, message: bytes });
     }
