--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -12,7 +12,7 @@
 use crate::genesis::Genesis;
 use crate::hold::Hold;
 use crate::learn::{Learner, Source};
-use crate::parcel::Parcels;
+use crate::parcel::{Bucket, Parcels};
 use crate::proposals::{Answer, Proposals};
 use crate::reach::{Remembered, Written};
 use crate::registers::{Outcome, Registers};
@@ -142,6 +142,9 @@
     look_ms: u64,
     look_soon: bool,
     last_look_ms: u64,
+    /// Answers since the last question, and how many of a thousand came lately.
+    answers: u32,
+    heard_of: u64,
     // A voter's.
     genesis: Option<Genesis>,
     seat: Option<Box<Seat>>,
@@ -166,6 +169,9 @@
     next_fold_ms: u64,
     next_replace_ms: u64,
     pushed: (u64, u64),
+    /// Messages between voters that leave once more: when, to whom.
+    again: VecDeque<(u64, u64, Vec<u8>)>,
+    may_again: Bucket,
     notes: Vec<Note>,
 }
 
@@ -191,6 +197,8 @@
             look_ms: now_ms.saturating_add(random.random_range(0..=s.look_ms)),
             look_soon: false,
             last_look_ms: 0,
+            answers: 0,
+            heard_of: 1_000,
             genesis: None,
             seat: None,
             begun: None,
@@ -211,6 +219,8 @@
             next_fold_ms: now_ms,
             next_replace_ms: now_ms,
             pushed: (0, 0),
+            again: VecDeque::new(),
+            may_again: Bucket::new(now_ms, 100, 40),
             notes: Vec::new(),
             random,
             s,
