--- a/crates/policy/tests/steps.rs
+++ b/crates/policy/tests/steps.rs
@@ -95,6 +95,8 @@
     entries: usize,
     /// The change is on trial, and goes badly.
     trial: bool,
+    /// The other change comes after the one, and is asked for once that stands.
+    after: bool,
     planted: Planted,
 }
 
@@ -108,9 +110,15 @@
 
 impl Fleet {
     fn new(asks: [bool; 2], losses: u8, restarts: u8, lates: u8, entries: usize) -> Self {
-        let (old, one, other) = (policy(10, 10), policy(20, 5), policy(5, 20));
-        let first = |new| tighter(&old, new).expect("a first step");
-        let policies = vec![old.clone(), one.clone(), first(&one), other.clone(), first(&other)];
+        Self::with(policy(5, 20), asks, losses, restarts, lates, entries)
+    }
+
+    fn with(other: Policy, asks: [bool; 2], losses: u8, restarts: u8, lates: u8, entries: usize) -> Self {
+        let (old, one) = (policy(10, 10), policy(20, 5));
+        let first = |from, to| tighter(from, to).expect("a first step");
+        let mut policies =
+            vec![old.clone(), one.clone(), first(&old, &one), other.clone(), first(&old, &other)];
+        policies.push(first(&one, &other));
         let may = policies.iter().map(|p| policies.iter().map(|q| neighbours(p, q)).collect()).collect();
         Self {
             policies,
@@ -122,6 +130,7 @@
             lates,
             entries,
             trial: false,
+            after: false,
             planted: Planted::Nothing,
         }
     }
@@ -254,7 +263,11 @@
     }
 
     fn actions(&self, w: &World, acts: &mut Vec<Act>) {
-        acts.extend((0..2).filter(|i| self.asks[*i] && !w.asked[*i]).map(Act::Ask));
+        let stands = |i: usize, version| {
+            w.fronts[i].governor.in_force().is_some_and(|f| (f.0, f.1) == (version, "stands"))
+        };
+        let may = |i: &usize| self.asks[*i] && !w.asked[*i] && (*i == 0 || !self.after || stands(*i, 2));
+        acts.extend((0..2).filter(may).map(Act::Ask));
         if w.log.len() < self.entries {
             acts.extend((0..w.flight.len()).map(Act::Decide));
         }
@@ -291,8 +304,14 @@
                 let trial = Trial { watch: Watch::InTime, time_s: 60, least: 10 };
                 let trial = self.trial.then_some(trial);
                 let text = self.policies[1 + 2 * i].text().to_owned();
-                let ask =
-                    Ask { key: 100 + i as u128, name: "ana".into(), against: 1, text, dry_run: false, trial };
+                let ask = Ask {
+                    key: 100 + i as u128,
+                    name: "ana".into(),
+                    against: if i == 1 && self.after { 2 } else { 1 },
+                    text,
+                    dry_run: false,
+                    trial,
+                };
                 let f = &mut w.fronts[i];
                 f.governor.ask(f.now, ask, &self.means(i), &mut out);
                 self.take(&mut w, i, out);
@@ -423,6 +442,14 @@
     all_is_well(Fleet::new([true, true], 1, 0, 0, 6), 40_000, &[NEW, FENCED]);
 }
 
+/// The first steps of both are no neighbours: the second change has to wait until nobody goes by that of the first.
+#[test]
+fn two_changes_one_after_the_other() {
+    let fleet = Fleet { after: true, ..Fleet::with(policy(30, 3), [true, true], 0, 0, 0, 6) };
+    assert!(!fleet.may[2][5]);
+    all_is_well(fleet, 1_000, &[NEW]);
+}
+
 /// The new one makes service worse: it goes back by the same steps.
 #[test]
 fn a_change_on_trial_that_goes_badly() {
