--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -71,7 +71,8 @@
     let c = with("key k\nadvertise 10.0.0.7:7400\n").expect("settings");
     assert_eq!(c.exchange.and_then(|x| x.advertise), "10.0.0.7:7400".parse().ok());
     for nowhere in ["0.0.0.0:7400", "10.0.0.7:0", "10.0.0.7"] {
-        let e = with(&format!("key k\nadvertise {nowhere}\n")).expect_err("nobody can send there").to_string();
+        let e =
+            with(&format!("key k\nadvertise {nowhere}\n")).expect_err("nobody can send there").to_string();
         assert!(e.contains(nowhere) && e.contains("with its port"), "{e}");
     }
     let e = with("peer nowhere\npeer 127.0.0.1:1\npeer 127.0.0.1:1\n").expect_err("faults").to_string();
