List changes and hand-overs: no word of another process counts for a node that is gone

A front that dialled a dead node in between met the newcomer; its connection's coming up (core/lives.rs, lives_on) and each answer to the question of ask_past counted as signs of life of the old node, so that its sessions stood for ever. Ruled out: the verdict by refused dials, which never comes, since the newcomer takes them. Now connections that came up since the newcomer's start are closed when the list names it (make_way), and what was set up over them is cut where it plays; a dial under way to a node that leaves the list is taken back (pass), and its set-ups go elsewhere at once. - The end of an older life of an id barred the node that has the id now (attempts.rs attempt_ended, standing.rs over): the module now hears that the connection broke, without a report. - A node tells the ends that nobody heard on the next connection: a restarted front may open it before it is handed the session (standing.rs node_over passed such a word over, and the session stood for ever). A node held to be dead was never looked at again for what was handed over later. - A session whose end was told is not taken up again; idle connections to nodes that have left the list are closed.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -107,6 +107,8 @@
     pub(super) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome, report: Vec<f64>) {
         let Some(attempt) = self.take_attempt(id) else { return };
         let Some(server) = self.lives.get(&attempt.life).map(|l| l.server) else { return };
+        let report = if self.is_current(attempt.life) { report } else { Vec::new() };
+        let outcome = self.fair(attempt.life, outcome);
         self.pending.push_back(ended(id, server, outcome, false, report));
     }
 
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -24,7 +24,7 @@
 pub struct Link {
     pub life: LifeId,
     pub way: Way,
-    /// When it was dialled.
+    /// When it was dialled, then when it came up.
     pub opened: Time,
     /// A set-up has gone over it: it is kept before others, since a node's work for a new connection is done with it.
     pub carried: bool,
@@ -45,6 +45,11 @@
         matches!(self.way, Way::Shut(_))
     }
 
+    /// Nothing waits for it that a viewer has asked for.
+    pub fn owes_nothing(&self) -> bool {
+        !self.queue.iter().any(|word| matches!(word, ToNode::Release(..)))
+    }
+
     fn idle(&self) -> bool {
         self.open.is_empty() && self.probes.is_empty() && self.queue.is_empty()
     }
@@ -211,6 +216,8 @@
         if let Some(link) = self.links.get_mut(&probe.link) {
             link.probes.remove(&id);
         }
+        // Of an older life of the same id: no word on the one that is there now.
+        let report = if self.is_current(probe.life) { report } else { Some(Vec::new()) };
         self.pending.push_back(Event::Probed(probe.server, report));
         Some(probe)
     }
@@ -241,7 +248,7 @@
 
     pub(super) fn link_up(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
         let Some(l) = self.links.get_mut(&link) else { return out.push(Effect::Close(link)) };
-        (l.way, l.used) = (Way::Up, now);
+        (l.way, l.used, l.opened) = (Way::Up, now, now);
         let (life, queue) = (l.life, std::mem::take(&mut l.queue));
         let (open, probes) = (l.open.clone(), l.probes.clone());
         self.lives_on(now, life, link, out);
@@ -375,10 +382,12 @@
         idle.min_by_key(|(_, l)| (l.carried, l.used)).map(|(link, _)| link)
     }
 
-    /// Idle connections are ended before the nodes close them; where sessions stand, another takes the place of the
+    /// Idle connections are ended before the nodes close them, and at once to nodes that the list names no more; where sessions stand, another takes the place of the
     /// last one, and brings what could not be told meanwhile.
     pub(super) fn sweep_links(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let old = |l: &Link| l.up() && l.idle() && !self.fresh(now, l);
+        let unlisted =
+            |l: &Link| self.lives.get(&l.life).is_none_or(|n| !n.may_dial() && n.standing.is_empty());
+        let old = |l: &Link| l.up() && l.idle() && (!self.fresh(now, l) || unlisted(l));
         let old: Vec<_> = self.links.iter().filter(|(_, l)| old(l)).map(|(id, l)| (*id, l.life)).collect();
         for (link, life) in old {
             if self.lives.get(&life).is_none_or(|l| l.standing.is_empty()) {
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -14,6 +14,7 @@
 //! that are still up, and if nothing comes, its sessions are over.
 
 use super::attempts::Stage;
+use super::links::Way;
 use super::standing::CUT;
 use super::*;
 use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
@@ -107,11 +108,12 @@
             match (same, known) {
                 (Some(life), _) => self.relist(now, life, e, out),
                 (None, old) => {
-                    old.into_iter().for_each(|old| self.pass(now, old, out));
                     self.begin(now, e);
+                    old.into_iter().for_each(|old| self.pass(now, old, out));
                 }
             }
         }
+        self.make_way(now, entries, out);
         self.pending.push_back(Event::ListFull(entries.iter().map(entry).collect()));
     }
 
@@ -151,25 +153,107 @@
             self.end_link(link, out);
         }
         for id in standing {
-            if matches!(self.sessions.get(&id), Some(Session { phase: Phase::Standing(_, since), .. }) if *since < started)
-            {
-                self.over(now, id, Outcome::Broken, Vec::new(), out);
+            // When one that was handed over began is not known: the list that told its node was older than this start,
+            // so that most likely it is too. Left standing it might never be told; ended, it is so at its node as well.
+            let Some((since, handed)) = self.since(id) else { continue };
+            if since >= started && !handed {
+                continue;
+            }
+            let word = ToNode::Release(id, self.title(id), CUT);
+            self.over(now, id, Outcome::Broken, Vec::new(), out);
+            if since >= started {
+                self.tell_node(now, life, word, out);
             }
         }
     }
 
+    /// Since when a session stands, and whether it was handed over then.
+    fn since(&self, id: SessionId) -> Option<(Time, bool)> {
+        let s = self.sessions.get(&id)?;
+        let Phase::Standing(_, since) = s.phase else { return None };
+        Some((since, s.ask.at.is_some()))
+    }
+
     /// A life is past: its id stands for another address, or the list names it no more. Its connections tell when it
     /// ends.
     fn pass(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
         let Some(l) = self.lives.get_mut(&life) else { return };
         (l.past, l.state, l.doubt) = (true, State::Gone, None);
-        let bare = l.links.is_empty();
-        self.current.remove(&l.server);
-        if bare {
+        let (server, links) = (l.server, l.links.clone());
+        if self.current.get(&server) == Some(&life) {
+            self.current.remove(&server);
+        }
+        // What comes up now may lead to another process at its address, whose word would count for this one.
+        for link in links {
+            if self.links.get(&link).is_some_and(|l| l.way == Way::Dialled) {
+                self.undial(link, out);
+            }
+        }
+        if self.lives.get(&life).is_some_and(|l| l.links.is_empty()) {
             self.bury(now, life, out);
         }
     }
 
+    /// Takes a dial back; nothing was sent over it.
+    fn undial(&mut self, link: LinkId, out: &mut Vec<Effect>) {
+        let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
+        open.into_iter().for_each(|id| self.attempt_ended(id, Outcome::Unsent, Vec::new()));
+        self.close_link(link, out);
+    }
+
+    /// Where a node of another id has the address of one that is gone, connections that came up since it started lead
+    /// to it, however they were meant: the list may tell late, and a node that died was dialled until then. What came
+    /// on them spoke for the wrong node, and what was set up over them is cut where it really plays.
+    fn make_way(&mut self, now: Time, entries: &[Entry], out: &mut Vec<Effect>) {
+        let listed: BTreeMap<_, _> = entries.iter().map(|e| (e.address, e.started_ms)).collect();
+        let past = self.lives.iter().filter(|(_, l)| l.past);
+        let met: Vec<_> =
+            past.filter_map(|(id, l)| Some((*id, *listed.get(&l.address)?, l.links.clone()))).collect();
+        for (life, started_ms, links) in met {
+            let started = started_ms.saturating_mul(MS);
+            let astray = |link: &LinkId| self.links.get(link).is_some_and(|l| l.opened >= started);
+            let links: Vec<_> = links.into_iter().filter(astray).collect();
+            let Some(way) = links.iter().copied().find(|l| self.links.get(l).is_some_and(Link::up)) else {
+                continue;
+            };
+            let standing = self.lives.get(&life).map(|l| l.standing.clone()).unwrap_or_default();
+            for id in standing {
+                if self.since(id).is_some_and(|(since, handed)| since >= started && !handed) {
+                    self.write(now, way, ToNode::Release(id, self.title(id), CUT), out);
+                    self.over(now, id, Outcome::Broken, Vec::new(), out);
+                }
+            }
+            links.into_iter().for_each(|link| self.end_link(link, out));
+            if self.lives.get(&life).is_some_and(|l| l.links.is_empty()) {
+                self.bury(now, life, out);
+            }
+        }
+    }
+
+    /// Whether this is the life of its id that the list names, or the last one that it named.
+    pub(super) fn is_current(&self, life: LifeId) -> bool {
+        let server = self.lives.get(&life).map(|l| l.server);
+        server.and_then(|s| self.current.get(&s)).is_none_or(|current| *current == life)
+    }
+
+    /// How an attempt or a session ended, as the module is to hear of it: what befell an older life of an id is no
+    /// ground to suspect the node that has the id now.
+    pub(super) fn fair(&self, life: LifeId, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::Served | Outcome::Cancelled => outcome,
+            _ if self.is_current(life) => outcome,
+            _ if outcome.never_ran() => Outcome::Unsent,
+            _ => Outcome::LinkBroken,
+        }
+    }
+
+    /// A session was handed over with this node: whether it is dead is found out anew.
+    pub(super) fn revive(&mut self, life: LifeId) {
+        if let Some(l) = self.lives.get_mut(&life) {
+            l.dead = false;
+        }
+    }
+
     /// Closes a connection to a process that is no more.
     fn end_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
         let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -84,6 +84,8 @@
     Doubt(LifeId),
     /// A connection that is being ended in order has waited long enough for its node.
     Shut(LinkId),
+    /// A session that was handed over is still at no node that the list names.
+    Handed(SessionId),
     /// A look at what grows old.
     Sweep,
 }
@@ -101,7 +103,7 @@
 enum Phase {
     /// Without an answer; the attempt that is out.
     Open(Option<attempts::Attempt>),
-    /// It stands at a node since then.
+    /// It stands at a node since then, or since it was handed over.
     Standing(LifeId, Time),
 }
 
@@ -137,11 +139,17 @@
     probes: BTreeMap<ProbeId, links::Probe>,
     ended: BTreeMap<SessionId, Ended>,
     ended_order: VecDeque<SessionId>,
+    /// Sessions that were handed over with a node that the list does not name yet.
+    unplaced: BTreeMap<SessionId, standing::Unplaced>,
+    /// Ends that nodes told of sessions that nobody has handed over yet.
+    early: BTreeMap<SessionId, standing::Early>,
     /// Ends that no connection could take yet.
     untold: VecDeque<standing::Untold>,
     timers: Timers<Wake>,
     pending: VecDeque<Event>,
     next: u64,
+    /// The front is about to end.
+    closing: bool,
 }
 
 impl Core {
@@ -170,11 +178,14 @@
             probes: BTreeMap::new(),
             ended: BTreeMap::new(),
             ended_order: VecDeque::new(),
+            unplaced: BTreeMap::new(),
+            early: BTreeMap::new(),
             untold: VecDeque::new(),
             timers,
             pending: VecDeque::new(),
             // Numbers of two runs differ, so that nothing late of one is taken for the other's.
             next: seed >> 16,
+            closing: false,
         })
     }
 
@@ -194,7 +205,12 @@
             Input::LinkDown(link) => self.link_down(now, link, out),
             Input::LinkShut(link) => self.link_shut(now, link, out),
             Input::Node(link, said) => self.node(now, link, said, out),
-            Input::Nodes(entries) => self.nodes(now, &entries, out),
+            Input::Nodes(entries) => {
+                self.nodes(now, &entries, out);
+                self.place_handed(now, out);
+            }
+            Input::Closing => self.closing = true,
+            Input::Last => self.answer_all(now, out),
         }
         self.run(now, out);
     }
@@ -217,6 +233,7 @@
                 Wake::ProbeTime(id) => self.probe_time(now, id, out),
                 Wake::Doubt(life) => self.doubt_again(now, life, out),
                 Wake::Shut(link) => self.shut_unanswered(now, link, out),
+                Wake::Handed(id) => self.handed_time(now, id, out),
                 Wake::Sweep => self.sweep(now, out),
             }
             self.run(now, out);
@@ -229,6 +246,12 @@
         self.open
     }
 
+    /// Whether nobody waits for anything: no request is open, and no release waits for a connection to its node.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.open == 0 && self.links.values().all(Link::owes_nothing)
+    }
+
     /// Sessions that stand.
     #[must_use]
     pub fn standing(&self) -> usize {
@@ -280,6 +303,7 @@
         self.sweep_links(now, out);
         self.sweep_lives(now, out);
         self.sweep_untold(now, out);
+        self.early.retain(|_, e| e.at + REMEMBERED > now);
         while self.ended_order.front().is_some_and(|id| {
             self.ended_order.len() > self.bounds.remembered
                 || self.ended.get(id).is_none_or(|e| e.at + REMEMBERED < now)
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -15,7 +15,8 @@
         if let Some(server) = ask.at {
             return self.under_way(now, conn, peer, ask, server, out);
         }
-        let full = self.open >= self.bounds.open
+        let full = self.closing
+            || self.open >= self.bounds.open
             || from.open.len() >= self.bounds.open_each
             || self.sessions.len() >= self.bounds.sessions;
         if full {
@@ -82,16 +83,25 @@
     /// attempt may be out or may have run.
     pub(super) fn backstop(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
         let Some(Phase::Open(attempt)) = self.sessions.get(&id).map(|s| &s.phase) else { return };
-        let server = attempt.as_ref().and_then(|a| self.lives.get(&a.life)).map(|l| l.server);
+        let life = attempt.as_ref().map(|a| a.life);
         self.give_up(now, id, out);
         let Some(s) = self.close_request(now, id) else { return };
         out.push(Effect::Tell(s.conn, ToViewer::Failed(id)));
+        let server = life.and_then(|life| self.lives.get(&life).map(|l| (l.server, life)));
         self.pending.push_back(match server {
-            Some(server) => ended(id, server, Outcome::TimedOut, true, Vec::new()),
+            Some((server, life)) => ended(id, server, self.fair(life, Outcome::TimedOut), true, Vec::new()),
             None => Event::Left(id),
         });
     }
 
+    /// The front ends: nobody is left without an answer, whatever time its request has.
+    pub(super) fn answer_all(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.closing = true;
+        let open = self.sessions.iter().filter(|(_, s)| matches!(s.phase, Phase::Open(_)));
+        let open: Vec<_> = open.map(|(id, _)| *id).collect();
+        open.into_iter().for_each(|id| self.backstop(now, id, out));
+    }
+
     /// A viewer gives a set-up up or ends a session; which of the two it meant does not matter, since its word may
     /// cross the answer.
     pub(super) fn end(&mut self, now: Time, conn: ConnId, id: SessionId, out: &mut Vec<Effect>) {
@@ -104,7 +114,7 @@
                 self.cut(now, id, out);
                 true
             }
-            None => self.ended.contains_key(&id),
+            None => self.unplaced.remove(&id).is_some() || self.ended.contains_key(&id),
         };
         if heard {
             self.became_good(now, conn, out);
--- /dev/null
+++ b/crates/platform/src/core/tests/churn.rs
@@ -0,0 +1,214 @@
+//! Hundreds of nodes' lives with churn: what is held goes back to where it was, in the core and in the module.
+
+use super::*;
+use std::net::SocketAddr;
+
+/// Everything that grows, by name.
+fn sizes(w: &World) -> BTreeMap<&'static str, usize> {
+    let c = &w.core;
+    let (servers, _) = c.controller.view(w.now);
+    let lives = || c.lives.values();
+    BTreeMap::from([
+        ("sessions", c.sessions.len()),
+        ("open", c.open),
+        ("conns", c.conns.len()),
+        ("open on conns", c.conns.values().map(|c| c.open.len()).sum()),
+        ("carried by conns", c.conns.values().map(|c| c.carries).sum()),
+        ("lives", c.lives.len()),
+        ("current", c.current.len()),
+        ("links of lives", lives().map(|l| l.links.len()).sum()),
+        ("standing at lives", lives().map(|l| l.standing.len()).sum()),
+        ("links", c.links.len()),
+        ("probes", c.probes.len()),
+        ("ended", c.ended.len() + c.ended_order.len()),
+        ("unplaced", c.unplaced.len()),
+        ("early", c.early.len()),
+        ("untold", c.untold.len()),
+        ("pending", c.pending.len()),
+        ("module servers", servers.len()),
+        ("module sessions", servers.iter().map(|s| s.sessions).sum()),
+    ])
+}
+
+/// Nodes on a few addresses, a fifth of them replaced at a time: drained or just gone, some at the address of one that
+/// went before, some of the old id with a later start; with viewers, hand-overs and faults throughout.
+struct Churn {
+    w: World,
+    listed: Vec<Entry>,
+    /// The processes that connections lead to, by id and start.
+    ends: BTreeMap<LinkId, (u32, u64)>,
+    next: u32,
+    id: u64,
+    conn: u64,
+    draw: u64,
+}
+
+impl Churn {
+    fn draw(&mut self, of: u64) -> u64 {
+        self.draw = self.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        (self.draw >> 33) % of
+    }
+
+    fn replace(&mut self) {
+        for at in 0..self.listed.len() {
+            let started_ms = self.w.now / MS;
+            let new = self.listed[at];
+            self.listed[at] = match self.draw(20) {
+                // Another id at once at its address.
+                0 | 1 => Entry { id: self.next, started_ms, state: State::Ready, ..new },
+                // The same id, started anew.
+                2 => Entry { started_ms, state: State::Ready, ..new },
+                // Another id at another address; the first is gone without a word.
+                3 => {
+                    let last = 20 + self.draw(40) as u8;
+                    let address = SocketAddrV4::new(Ipv4Addr::new(127, 1, 0, last), 2905);
+                    let taken = self.listed.iter().any(|e| e.address == address);
+                    let address = if taken { new.address } else { address };
+                    Entry { id: self.next, started_ms, state: State::Ready, address, ..new }
+                }
+                4 => Entry { state: State::Draining, ..new },
+                _ => new,
+            };
+            self.next += u32::from(self.listed[at].id == self.next);
+        }
+        let listed = self.listed.clone();
+        self.w.tell(Input::Nodes(listed));
+    }
+
+    /// Whether the process that a connection leads to still runs.
+    fn runs(&self, link: LinkId) -> bool {
+        let end = self.ends.get(&link);
+        end.is_some_and(|(id, started)| self.listed.iter().any(|e| (e.id, e.started_ms) == (*id, *started)))
+    }
+
+    /// Some of what nodes and connections do, at random.
+    fn answer(&mut self, out: Vec<Effect>) {
+        let mut todo: VecDeque<Effect> = out.into();
+        while let Some(e) = todo.pop_front() {
+            let what = self.draw(20);
+            if let Effect::Dial(link, address) = &e {
+                let there = self.listed.iter().find(|n| SocketAddr::from(n.address) == *address);
+                match there {
+                    Some(n) => drop(self.ends.insert(*link, (n.id, n.started_ms))),
+                    None => {
+                        todo.extend(self.w.tell(Input::LinkFailed(*link, DialEnd::Refused)));
+                        continue;
+                    }
+                }
+            }
+            let input = match e {
+                // A process that is gone says nothing, or its connection is reset.
+                Effect::Write(link, _) | Effect::Shut(link) if !self.runs(link) => match what {
+                    0..10 => Input::LinkDown(link),
+                    _ => continue,
+                },
+                Effect::Dial(link, _) => match what {
+                    0 => Input::LinkFailed(link, DialEnd::Refused),
+                    1 => Input::LinkFailed(link, DialEnd::TimedOut),
+                    2 => Input::LinkFailed(link, DialEnd::Failed),
+                    3 => continue,
+                    _ => Input::LinkUp(link),
+                },
+                Effect::Write(link, ToNode::SetUp { id, .. }) => match what {
+                    0 => Input::Node(link, FromNode::Ended(id, Outcome::Full, Vec::new())),
+                    1 => Input::Node(link, FromNode::Ended(id, Outcome::Error, vec![0.5, 0.5])),
+                    2 => Input::LinkDown(link),
+                    3 => continue,
+                    _ => Input::Node(link, plays(id.0)),
+                },
+                Effect::Write(link, ToNode::AskLoad(id)) if what > 1 => {
+                    Input::Node(link, FromNode::Load(id, Some(vec![0.3, 0.3])))
+                }
+                Effect::Shut(link) if what > 2 => Input::LinkShut(link),
+                _ => continue,
+            };
+            todo.extend(self.w.tell(input));
+        }
+    }
+
+    fn round(&mut self) {
+        for _ in 0..4 {
+            self.id += 1;
+            let id = self.id;
+            if self.draw(3) == 0 {
+                self.conn += 1;
+                self.w.tell(Input::Opened(ConnId(self.conn), HERE));
+            }
+            let conn = ConnId(self.conn);
+            let asked = ask(id, (id % 2) as u16);
+            let at = self.draw(self.listed.len() as u64) as usize;
+            let some = self.listed[at].id;
+            let out = match self.draw(10) {
+                0 => self.w.tell(Input::Ask(conn, Ask { at: Some(ServerId(some)), ..asked })),
+                1 => self.w.tell(Input::Ask(conn, Ask { at: Some(ServerId(9_999_999)), ..asked })),
+                2 => {
+                    let out = self.w.tell(Input::Ask(conn, asked));
+                    self.answer(out);
+                    self.w.tell(Input::End(conn, SessionId(id)))
+                }
+                3 => {
+                    let gone = self.w.tell(Input::Gone(conn));
+                    self.conn += 1;
+                    self.w.tell(Input::Opened(ConnId(self.conn), HERE));
+                    gone
+                }
+                _ => self.w.tell(Input::Ask(conn, asked)),
+            };
+            self.answer(out);
+        }
+        // Sessions end, and nodes tell of some that are not known.
+        let links: Vec<_> = self.w.core.links.iter().filter(|(_, l)| l.up()).map(|(id, _)| *id).collect();
+        for link in links.into_iter().filter(|l| self.runs(*l)).collect::<Vec<_>>() {
+            let id = 1 + self.draw(self.id);
+            let how = [Outcome::Served, Outcome::Cancelled, Outcome::Broken][self.draw(3) as usize];
+            let out = self.w.tell(Input::Node(link, FromNode::Over(SessionId(id), how, Vec::new())));
+            self.answer(out);
+        }
+        let out = self.w.pass(200 * MS);
+        self.answer(out);
+    }
+}
+
+#[test]
+fn no_memory_connection_or_belief_outlives_the_lives_of_hundreds_of_nodes() {
+    for seed in [1, 2, 3] {
+        let first: Vec<_> = (1..11).map(|id| node(id, State::Ready)).collect();
+        let w = World::new(&first);
+        let before = sizes(&w);
+        let mut c =
+            Churn { w, listed: first.clone(), ends: BTreeMap::new(), next: 100, id: 0, conn: 1, draw: seed };
+        let mut most = 0;
+        for round in 0..800 {
+            if round % 3 == 0 {
+                c.replace();
+            }
+            c.round();
+            c.w.out.clear();
+            most = most.max(c.w.core.lives.len());
+        }
+        assert!(c.next > 400, "{} ids were met", c.next);
+        assert!(most <= 60, "{most} lives were held at a time");
+        // The world goes quiet: the last connections of viewers go, nodes end what they have, and time passes.
+        let conns: Vec<_> = c.w.core.conns.keys().copied().filter(|conn| conn.0 != 1).collect();
+        conns.into_iter().for_each(|conn| drop(c.w.tell(Input::Gone(conn))));
+        // The same ten nodes as at first, started anew.
+        let started_ms = c.w.now / MS;
+        c.listed = first.iter().map(|e| Entry { started_ms, ..*e }).collect();
+        let listed = c.listed.clone();
+        c.w.tell(Input::Nodes(listed));
+        for _ in 0..400 {
+            let out = c.w.pass(100 * MS);
+            c.answer(out);
+            for (id, e) in c.w.core.sessions.iter().map(|(id, s)| (*id, s.ask.id)).collect::<Vec<_>>() {
+                assert_eq!(id, e);
+                c.w.tell(Input::End(ConnId(1), id));
+            }
+        }
+        assert_eq!(sizes(&c.w), before, "seed {seed}");
+        let timers = std::iter::from_fn(|| c.w.core.timers.due(Time::MAX)).count();
+        // The sweep's and the module's.
+        assert!(timers <= 4, "{timers} timers are left");
+        let known: BTreeSet<SocketAddr> = c.w.core.lives.values().map(|l| l.address.into()).collect();
+        assert_eq!(known.len(), 10);
+    }
+}
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -142,6 +142,10 @@
     Node(LinkId, FromNode),
     /// The list of nodes is this now.
     Nodes(Vec<pepperhook_changelog::Entry>),
+    /// The front is about to end: what comes from now on is refused, since it might not be answered in time.
+    Closing,
+    /// The front ends now: whatever is open has its answer.
+    Last,
 }
 
 /// What is to be done.
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Something that was said is not written yet.
+    pub fn is_writing(&self) -> bool {
+        !self.queue.borrow().is_empty() && !self.over.get()
+    }
+
     /// Ends the connection once what was said is written.
     pub fn close(&self) {
         self.closing.set(true);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -31,8 +31,21 @@
 const LINGERING: usize = 16;
 /// Messages that cannot be used, on one connection, before it is closed.
 const BAD_WORDS: u32 = 4;
-/// After SIGTERM the front serves on for as long as new requests may come, and for the longest deadline beyond.
-const STILL_COMING: Duration = Duration::from_millis(900);
+/// After SIGTERM requests come for 0.6 s at most. One that comes later than this might be open when SIGKILL comes, and
+/// is refused at once (the protocol's figures on planned restarts).
+const STILL_COMING: Duration = Duration::from_millis(700);
+/// The front does not end earlier, since it may have read late what came in time.
+const EARLIEST: Duration = Duration::from_millis(900);
+/// SIGKILL comes no earlier after SIGTERM than the longest deadline, counted as so much where it is longer,
+const LONGEST: Duration = Duration::from_millis(3_000);
+/// and so much more.
+const KILLED: Duration = Duration::from_millis(700);
+/// So long before it everyone has an answer: what is written then has the time to leave.
+const BEFORE: Duration = Duration::from_millis(60);
+/// The last words are waited for so long.
+const LAST_WORDS: Duration = Duration::from_millis(40);
+/// Between two looks at whether they are written.
+const LOOK: Duration = Duration::from_millis(5);
 /// Warnings of one kind come once in so long.
 const WARN_EACH: Duration = Duration::from_secs(5);
 
@@ -276,6 +289,32 @@
         }
     }
 
+    /// Bytes wait for a socket.
+    fn is_writing(&self) -> bool {
+        let waits = |p: &Rc<Peer>| p.is_writing();
+        self.viewers.borrow().values().any(waits) || self.nodes.borrow().values().any(waits)
+    }
+
+    /// Waits until nobody is owed anything, until this moment at the most.
+    async fn settled(&self, until: Instant) {
+        while Instant::now() < until && (self.is_writing() || !self.core.borrow().is_quiet()) {
+            let _ = tokio::time::timeout(LOOK, self.idle.notified()).await;
+        }
+    }
+
+    /// From SIGTERM to the end: serves on, then refuses what comes too late, and ends as soon as nobody is owed anything;
+    /// shortly before SIGKILL may come everyone gets an answer.
+    async fn stop(self: Rc<Self>, longest: Duration) {
+        let began = Instant::now();
+        let last = began + longest.min(LONGEST) + (KILLED - BEFORE);
+        tokio::time::sleep_until(last.min(began + STILL_COMING)).await;
+        self.drive(Input::Closing);
+        tokio::time::sleep_until(last.min(began + EARLIEST)).await;
+        self.settled(last).await;
+        self.drive(Input::Last);
+        self.settled(Instant::now() + LAST_WORDS).await;
+    }
+
     /// Takes what may change of the configuration while the front runs: where the change log is.
     fn reload(&self, path: &Path) {
         match Config::load(path) {
@@ -339,13 +378,15 @@
         }
     }
     info!(event = "stopping", open = shell.core.borrow().open(), standing = shell.core.borrow().standing());
-    tokio::time::sleep(STILL_COMING).await;
-    let idle = async {
-        while shell.core.borrow().open() > 0 {
-            shell.idle.notified().await;
+    let end = shell.clone().stop(longest);
+    tokio::pin!(end);
+    loop {
+        tokio::select! {
+            () = &mut end => break,
+            // The change log may move shortly before the end or during it.
+            _ = hup.recv() => shell.reload(&path),
         }
-    };
-    let _ = tokio::time::timeout(longest, idle).await;
+    }
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     info!(event = "stopped", "the front has stopped");
     Ok(())
