--- a/crates/platform/src/core/tests/lists.rs
+++ b/crates/platform/src/core/tests/lists.rs
@@ -315,3 +315,30 @@
     assert!(!out.iter().any(|e| matches!(e, Effect::Tell(_, ToViewer::Over(..)))), "{out:?}");
     assert_eq!(w.core.standing(), 3 - there);
 }
+
+/// A connection to a node that has left the list is not kept for its idle time once nothing stands there.
+#[test]
+fn an_idle_connection_to_a_node_that_left_the_list_is_closed_at_once() {
+    let mut w = World::new(&[node(1, State::Ready)]);
+    let (link, _) = w.standing(1);
+    w.tell(Input::Nodes(Vec::new()));
+    assert_eq!(w.core.links.len(), 1, "its session may still be told of");
+    w.tell(Input::Node(link, FromNode::Over(SessionId(1), Outcome::Served, Vec::new())));
+    let out = w.pass(250 * MS);
+    assert!(out.contains(&Effect::Close(link)), "{out:?}");
+    w.pass(250 * MS);
+    assert!(w.core.links.is_empty() && w.core.lives.is_empty());
+}
+
+/// A refusal of the process that had an id before tells nothing of the one that has it now.
+#[test]
+fn a_report_of_an_older_life_of_an_id_is_passed_over() {
+    let mut w = World::new(&[node(1, State::Ready)]);
+    let (old, _) = w.sent(1, 0);
+    w.pass(100 * MS);
+    let moved = Entry { address: node(9, State::Ready).address, ..started(&w, node(1, State::Ready)) };
+    w.tell(Input::Nodes(vec![moved]));
+    let used = view(&w, 1).link_use;
+    w.tell(Input::Node(old, FromNode::Ended(SessionId(1), Outcome::Full, vec![9.0, 9.0])));
+    assert!(view(&w, 1).link_use <= used + 0.1, "{:?}", view(&w, 1));
+}
