--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -666,3 +666,31 @@
         );
     }
 }
+
+/// What a change log that fell silent would have told counts as told 4 s after that: it is asked again well before. One that
+/// is down is asked again within about a second of its coming back.
+#[test]
+fn a_silent_change_log_is_asked_again_within_4_s_and_one_that_was_down_within_a_second_or_so() {
+    let (node, _told) = scripted(answer);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let log = listener.local_addr().expect("an address");
+    let _front = front(&config(&[node], log));
+    let asked = |listener: &TcpListener| {
+        let (mut stream, _) = listener.accept().expect("the front asks");
+        stream.read_exact(&mut [0; 8]).expect("a number");
+        stream
+    };
+    let mut first = asked(&listener);
+    let nothing = [&9u32.to_be_bytes()[..], &3u64.to_be_bytes(), &[0]].concat();
+    first.write_all(&nothing).expect("writes");
+    let silent = Instant::now();
+    let second = asked(&listener);
+    assert!(silent.elapsed() < 4 * SECOND, "asked again after {:?}", silent.elapsed());
+    // Down for a while.
+    drop((listener, first, second));
+    std::thread::sleep(2 * SECOND);
+    let listener = TcpListener::bind(log).expect("binds again");
+    let back = Instant::now();
+    asked(&listener);
+    assert!(back.elapsed() < 2 * SECOND, "asked again after {:?}", back.elapsed());
+}
