A node just listed is weighed by what was asked for before, not as if nobody wanted it

Where a front's part of a cold node's budget is under one set-up, a lot decides, weighed by how often the node was wanted in the last 10 s. Each node kept that count itself, so that one listed under a new id began with none: it was taken for one with a request in 10 s, and each front's first request passed the lot up to 10 s / window times too often.

Ruled out: windows of the lot in step (each front's begin at its own moment), the count of sends (one in a window holds), restarted fronts (they divide by the time since their start). At fault: `Server::new`'s empty `wanted`, divided by the whole window in `cold_pace`.

The module now keeps the wishes of the last 10 s once, and counts those that the node holds. Nodes that were listed before are weighed as they were.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::window::{SECOND, SlidingSum, ago, seconds};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Part of a link or uplink that may be asked for. The paper's nine tenths leave too little for what a front
 /// cannot see: true rates stray from listed ones, and the others add to what was read.
@@ -82,6 +82,8 @@
     holds: BTreeMap<HoldId, Hold>,
     moved: BTreeMap<ViewerKey, (Time, ServerId, u8)>,
     taken: SlidingSum,
+    /// What was asked for of late.
+    wishes: VecDeque<(Time, Wish)>,
     further: SlidingSum,
     probes: f64,
     /// Time played by sessions, in seconds, and how many of them played to their end: both fade.
@@ -111,6 +113,7 @@
             holds: BTreeMap::new(),
             moved: BTreeMap::new(),
             taken: SlidingSum::default(),
+            wishes: VecDeque::new(),
             further: SlidingSum::default(),
             probes: 0.0,
             played: (LENGTH_WEIGHT * seconds(LENGTH), LENGTH_WEIGHT),
@@ -715,8 +718,9 @@
             s.shun.insert(left);
             s.cap = rung.min(s.top);
         }
-        for server in self.servers.values_mut().filter(|h| holds(&self.set, h, &wish)) {
-            server.wanted.push(now, 1.0, WINDOW);
+        self.wishes.push_back((now, wish));
+        while self.wishes.front().is_some_and(|(at, _)| at.saturating_add(WINDOW) < now) {
+            self.wishes.pop_front();
         }
         out.push(Action::SetTimer(wish.patience, id.0));
         if !self.ask_holders(now, id, out) {
@@ -931,7 +935,8 @@
     /// Rule 4: a front alone keeps its part of what a cold server stands in any window. Where that part is
     /// under one set-up, each of many fronts is asked for the server only now and then: in so many windows,
     /// by lot, one of these requests goes there that the sum keeps to the budget. A title in demand, or
-    /// viewers who come again and again, show in how often the server was wanted of late.
+    /// viewers who come again and again, show in how often the server was wanted of late; for one that was
+    /// listed just now that is how often its titles were.
     fn cold_pace(&self, now: Time, server: &Server) -> bool {
         let (warmth, r) = (self.warmth(now, server), &self.set.rules);
         if warmth >= 1.0 {
@@ -941,7 +946,9 @@
         let part = pace * r.fall_multiple * seconds(r.fall_window) * COLD_SHARE
             / f64::from(self.set.fronts).max(1.0);
         let since = ago(now, WINDOW).max(self.began.unwrap_or(now));
-        let wanted = server.wanted.since(since).max(1.0) / seconds(now.saturating_sub(since)).max(1.0);
+        let asked = self.wishes.iter().rev().take_while(|(at, _)| *at > since);
+        let asked = asked.filter(|(_, wish)| holds(&self.set, server, wish)).count() as f64;
+        let wanted = asked.max(1.0) / seconds(now.saturating_sub(since)).max(1.0);
         // Each front's windows begin at a moment of its own.
         let window = now.saturating_add(self.random % r.fall_window.max(1)) / r.fall_window.max(1);
         let lot = scatter(self.random ^ scatter(window ^ scatter(u64::from(server.entry.server.0))));
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,8 +61,6 @@
     pub lost: bool,
     /// When it was first seen to be gone, with no own session left there.
     pub gone_at: Option<Time>,
-    /// Requests for a title that it holds.
-    pub wanted: SlidingSum,
     pub sends: SlidingSum,
     /// When the last set-up was sent there.
     pub sent_at: Option<Time>,
@@ -114,7 +112,6 @@
             cold_from: entry.started,
             lost: false,
             gone_at: None,
-            wanted: SlidingSum::default(),
             sends: SlidingSum::default(),
             sent_at: None,
         }
