Any customer: no question where probes are forbidden, few descriptors, sites without reports

- `limits.probes` false: a node that refused a dial while another connection was up, and one that the list named no more, was asked for its load as a sign of life (`ask_sign`, `ask_past`).
Where they are forbidden an idle connection is shut instead and the node's end of it is the sign; a node that is listed no more is given up after the silence that the watch allows (4.5 to 5.2 s).
Where they are allowed nothing changes.
- Few descriptors: viewers' connections (an eighth over half while one gives way, a sixteenth being ended) and nodes' came with the process's own to 72 of 64, and to some 1,027 of 1,024.
The bounds are now a part of what is left after 16.
- `load_report` without `fields`, or missing, as a site without reports may have it: the front did not start.
The decision module's reader took it already.
- A standing session kept its viewer's description, up to 16 KiB, so that 16,384 sessions were over the limit of memory.
It is dropped once no further attempt can need it.

Each has a test that fails without it.

--- a/crates/parameters/src/lib.rs
+++ b/crates/parameters/src/lib.rs
@@ -194,15 +194,35 @@
 /// Names the key that is missing or wrong.
 pub fn sockets(v: &Value) -> Parsed<Sockets> {
     let (classes, limits) = (list(v, "classes")?, need(v, "limits")?);
-    let report = need(v, "load_report")?;
+    // A site whose nodes report nothing may name no report, or no values in it.
+    let report = v.get("load_report").filter(|r| r.get("fields").is_some_and(|f| !f.is_null()));
     Ok(Sockets {
         classes: classes.iter().map(|c| text(c, "name").map(str::to_owned)).collect::<Parsed<_>>()?,
         deadlines: classes.iter().map(|c| whole(c, "deadline_ns")).collect::<Parsed<_>>()?,
         zones: names(v, "zones")?,
         kinds: names(v, "flavors")?,
-        fields: names(report, "fields")?,
+        fields: report.map_or_else(|| Ok(Vec::new()), |r| names(r, "fields"))?,
         dial: whole(limits, "dial_timeout_ns")?,
         idle: whole(limits, "conn_idle_ns")?,
         streams: small::<u32>(limits, "max_streams")?.max(1) as usize,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::sockets;
+    use serde_json::json;
+
+    /// A site whose nodes report nothing need not name a report; the front did not start there.
+    #[test]
+    fn a_site_without_reports_is_read() {
+        let limits = json!({"dial_timeout_ns": 1, "conn_idle_ns": 1, "max_streams": 1});
+        let bare = json!({"classes": [], "limits": limits, "zones": [], "flavors": []});
+        for report in [json!(null), json!({"via": "silent"}), json!({"via": "silent", "fields": null})] {
+            let mut v = bare.clone();
+            v["load_report"] = report;
+            assert!(sockets(&v).is_ok_and(|s| s.fields.is_empty()), "{v}");
+        }
+        assert!(sockets(&bare).is_ok_and(|s| s.fields.is_empty()));
+    }
+}
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -370,8 +370,12 @@
     /// A connection of a node that carries nothing, if there is another that is up: rather one that never carried a
     /// set-up, then the one used longest ago.
     pub(super) fn spare(&self, life: LifeId) -> Option<LinkId> {
-        let another = self.ups(life).count() > 1;
-        let idle = self.ups(life).filter(|(_, l)| another && l.idle());
+        self.idle(life).filter(|_| self.ups(life).count() > 1)
+    }
+
+    /// The same, its only one included.
+    pub(super) fn idle(&self, life: LifeId) -> Option<LinkId> {
+        let idle = self.ups(life).filter(|(_, l)| l.idle());
         idle.min_by_key(|(_, l)| (l.carried, l.used)).map(|(link, _)| link)
     }
 
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -315,6 +315,14 @@
 
     /// Asks a node that is listed no more whether it is still there, and ends what stands there if it says nothing.
     fn ask_past(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        if !self.probing {
+            // Nothing may be asked; a process that died has reset its connections, a machine that vanished is silent.
+            let quiet = |l: &Life| l.heard.saturating_add(self.patience(life, l.heard)) < now;
+            if self.lives.get(&life).is_some_and(quiet) {
+                self.bury(now, life, out);
+            }
+            return;
+        }
         let Some(l) = self.lives.get_mut(&life) else { return };
         match l.asked {
             Some(at) if at + LAST_WORD > now => return,
@@ -324,8 +332,15 @@
         self.ask_sign(now, life, out);
     }
 
-    /// Asks on each connection that is up; whatever comes back is a sign of life.
+    /// Asks on each connection that is up; whatever comes back is a sign of life. Where nodes may not be asked, one that
+    /// carries nothing is shut: a node that lives ends it, and has a place for the next one.
     fn ask_sign(&mut self, now: Time, life: LifeId, out: &mut Vec<Effect>) {
+        if !self.probing {
+            if let Some(link) = self.idle(life) {
+                self.shut(now, link, out);
+            }
+            return;
+        }
         let Some(l) = self.lives.get(&life) else { return };
         for link in l.links.clone() {
             let question = ProbeId(self.number());
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -33,6 +33,10 @@
 /// What is over must be told within so long of its end, where its node cannot say so (the protocol's rule on releases).
 const TOLD_WITHIN: Time = 8_000 * MS;
 
+/// Descriptors of the process's own: standard streams, the runtime's poll, wake and signal ends, the listener, the change
+/// log with one connection that ends while the next comes up, and the configuration when it is read again.
+const OWN: usize = 16;
+
 /// Bounds of what the core holds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -51,15 +55,18 @@
 }
 
 impl Bounds {
-    /// Bounds that fit a limit on descriptors: viewers are left half of them.
+    /// Bounds that fit a limit on descriptors. After what the process needs for itself, viewers have half, an eighth
+    /// more while one gives way to another and a sixteenth for those being ended in order; nodes have two fifths. In
+    /// sum that is under the whole. The protocol's viewers hold a third.
     #[must_use]
     pub fn for_descriptors(descriptors: usize) -> Self {
+        let left = descriptors.saturating_sub(OWN);
         Self {
             open: 1_024,
             open_each: 256,
             sessions: 16_384,
-            viewers: descriptors / 2,
-            links: (descriptors * 2 / 5).max(8),
+            viewers: (left / 2).max(1),
+            links: (left * 2 / 5).max(1),
             remembered: 4_096,
         }
     }
@@ -127,6 +134,8 @@
 pub struct Core {
     controller: Controller,
     bounds: Bounds,
+    /// Nodes may be asked for their load.
+    probing: bool,
     sockets: Sockets,
     sessions: BTreeMap<SessionId, Session>,
     open: usize,
@@ -157,9 +166,11 @@
     ) -> Result<Self, SettingsError> {
         let mut timers = Timers::default();
         timers.set(0, Wake::Sweep);
+        let probing = settings.probes;
         Ok(Self {
             controller: Controller::new(settings, seed)?,
             bounds,
+            probing,
             sockets,
             sessions: BTreeMap::new(),
             open: 0,
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -41,6 +41,8 @@
             return out.push(Effect::Tell(conn, ToViewer::Refused(id, None)));
         }
         let phase = Phase::Standing(life, now);
+        // The description is of no further use, and thousands of long ones would fill the memory.
+        let ask = Ask { body: Bytes::new(), ..ask };
         self.sessions.insert(id, Session { ask, conn, peer, rung: 0, attempts: 1, phase });
         self.stands(life, conn, id);
         self.became_good(now, conn, out);
@@ -75,6 +77,8 @@
                 self.take_attempt(id);
                 let Some(s) = self.sessions.get_mut(&id) else { return };
                 s.phase = Phase::Standing(life, now);
+                // No further attempt takes the description.
+                s.ask.body = Bytes::new();
                 self.open -= 1;
                 let conn = s.conn;
                 if let Some(conn) = self.conns.get_mut(&conn) {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -9,7 +9,7 @@
 use pepperhook::{ClassId, Outcome, TenantId, TitleId, ViewerKey, Wish};
 use pepperhook_changelog::{Entry, State};
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 const S: Time = 1_000 * MS;
 const T0: Time = 1_700_000_000 * S;
@@ -286,6 +286,7 @@
 fn a_node_that_is_listed_no_more_is_asked_and_its_sessions_end_if_it_says_nothing() {
     for answers in [true, false] {
         let mut w = World::three();
+        w.core.probing = true;
         let (link, address) = w.standing(1);
         let rest = [1, 2, 3].map(|id| node(id, State::Ready));
         w.pass(100 * MS);
@@ -303,6 +304,55 @@
     }
 }
 
+/// Where settings forbid probes, a question for load as a sign of life is one too.
+#[test]
+fn where_probes_are_forbidden_no_node_is_asked_for_a_sign() {
+    let asked = |out: &[Effect]| out.iter().any(|e| matches!(e, Effect::Write(_, ToNode::AskLoad(_))));
+    let mut w = World::three();
+    let (link, address) = w.standing(1);
+    let rest = [1, 2, 3].map(|id| node(id, State::Ready));
+    w.tell(Input::Nodes(rest.into_iter().filter(|n| SocketAddr::from(n.address) != address).collect()));
+    w.pass(3 * S);
+    assert_eq!(w.core.standing(), 1, "it may still play there");
+    w.tell(Input::Node(link, FromNode::Other));
+    w.pass(3 * S);
+    assert_eq!(w.core.standing(), 1);
+    w.pass(4 * S);
+    assert!(told(&w.out, &over(1, 41)) && !asked(&w.out));
+
+    // A node that takes no more connections refuses dials: its only idle one is shut, and its end is a sign.
+    let mut w = World::three();
+    let (link, _) = w.standing(1);
+    let (dial, _) = dialled(&w.pass(6 * S)).expect("a quiet node is dialled");
+    let out = w.tell(Input::LinkFailed(dial, DialEnd::Refused));
+    assert!(out.contains(&Effect::Shut(link)), "{out:?}");
+    let out = w.tell(Input::LinkShut(link));
+    let (dial, _) = dialled(&out).or(dialled(&w.pass(200 * MS))).expect("its place is free again");
+    w.tell(Input::LinkUp(dial));
+    w.pass(S);
+    assert!(w.core.standing() == 1 && !asked(&w.out));
+}
+
+/// Viewers' places at their most, those being ended, and nodes' connections together went past few descriptors.
+#[test]
+fn all_connections_together_stay_within_the_descriptors() {
+    for descriptors in [32, 64, 100, 256, 1_024, 65_536] {
+        let b = Bounds::for_descriptors(descriptors);
+        let all = OWN + b.viewers * 9 / 8 + b.viewers / 16 + b.links;
+        assert!(all <= descriptors, "{all} of {descriptors}");
+        assert!(descriptors < 64 || b.viewers >= descriptors / 3, "the protocol's viewers have a third");
+    }
+}
+
+/// 16,384 standing sessions with descriptions of 16 KiB would be over the memory that a front has.
+#[test]
+fn a_session_that_stands_keeps_no_description() {
+    let mut w = World::three();
+    w.standing(1);
+    w.tell(Input::Ask(ConnId(1), Ask { at: Some(ServerId(2)), ..ask(2, 0) }));
+    assert!(w.core.standing() == 2 && w.core.sessions.values().all(|s| s.ask.body.is_empty()));
+}
+
 #[test]
 fn a_moved_session_is_left_to_its_node_and_cut_there_if_nothing_comes() {
     for heard in [true, false] {
--- a/crates/platform/src/core/tests/watch.rs
+++ b/crates/platform/src/core/tests/watch.rs
@@ -40,6 +40,7 @@
 impl Scene {
     fn new(seed: u64) -> Self {
         let mut w = World::three();
+        w.core.probing = true;
         // Another draw of the moments at which it looks.
         w.core.next = seed << 20;
         let (link, _) = w.standing(1);
