Property test: settings of customers at random, each with a random history under the checker

Each plays a random history of wishes written as messages, nodes and connections. The checker now also judges, from the JSON alone, attempts for one request, the ration, rungs and seats; it is shown to see each of them broken.

--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -1,6 +1,7 @@
 //! The core under a test's clock: each account at its boundary, then random histories judged by `checker`.
 
 mod checker;
+mod customers;
 mod histories;
 mod watch;
 
@@ -61,9 +62,12 @@
 
 impl World {
     fn new(nodes: &[Entry]) -> Self {
-        let v = settings();
-        let (own, sockets) = (pepperhook_parameters::decisions(&v), pepperhook_parameters::sockets(&v));
-        let bounds = Bounds::for_descriptors(256);
+        Self::of(&settings(), 256, nodes)
+    }
+
+    fn of(v: &Value, descriptors: usize, nodes: &[Entry]) -> Self {
+        let (own, sockets) = (pepperhook_parameters::decisions(v), pepperhook_parameters::sockets(v));
+        let bounds = Bounds::for_descriptors(descriptors);
         let core = Core::new(own.expect("settings"), sockets.expect("settings"), bounds, 7).expect("a core");
         let mut world = Self { core, now: T0, out: Vec::new() };
         world.tell(Input::Nodes(nodes.to_vec()));
--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -3,13 +3,49 @@
 use super::super::types::*;
 use pepperhook::{Outcome, SessionId, Time};
 use pepperhook_changelog::{Entry, State};
+use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 const SLACK: Time = 10 * super::MS;
 
+/// What the settings allow, read from their JSON by this file alone.
+struct Terms {
+    floors: Vec<u64>,
+    tops: Vec<u64>,
+    seats: Vec<u64>,
+    attempts: u64,
+    /// Share, free ones and window of the ration of further attempts.
+    ration: Option<(f64, f64, Time)>,
+}
+
+impl Terms {
+    fn of(v: &Value) -> Self {
+        let each = |key: &str| {
+            let all = v["specifics"][key].as_array().into_iter().flatten();
+            all.map(|x| x.as_u64().expect("whole")).collect()
+        };
+        let rules = &v["rules"];
+        let ration = rules["extra_per_request"].as_f64().map(|share| {
+            (share, rules["min_extra"].as_f64().unwrap_or(0.0), rules["look_back_ns"].as_u64().unwrap_or(0))
+        });
+        let attempts = v["limits"]["max_attempts"].as_u64().expect("whole");
+        Self {
+            floors: each("lowest_rung"),
+            tops: each("highest_rung"),
+            seats: each("seats"),
+            attempts,
+            ration,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Request {
+    class: usize,
+    title: u64,
+    top: f64,
+    attempts: u64,
     paid: bool,
     due: Time,
     conn: u64,
@@ -22,6 +58,15 @@
 
 #[derive(Default)]
 pub struct Checker {
+    /// Classes that may never be set up twice.
+    paid: Vec<bool>,
+    terms: Option<Terms>,
+    taken: Vec<Time>,
+    further: Vec<Time>,
+    /// Sessions that stand, for seats: gone with the first word of their end.
+    seated: BTreeSet<SessionId>,
+    /// Set-ups, answers that play and refusals that were seen.
+    pub seen: [usize; 3],
     requests: BTreeMap<SessionId, Request>,
     conns: BTreeSet<u64>,
     links: BTreeMap<LinkId, SocketAddr>,
@@ -32,14 +77,53 @@
 }
 
 impl Checker {
+    pub fn new(paid: Vec<bool>, settings: &Value) -> Self {
+        Self { paid, terms: Some(Terms::of(settings)), ..Self::default() }
+    }
+
+    /// Attempts for one request, the ration of further ones, rungs and seats.
+    fn judge_terms(&mut self, now: Time, id: SessionId, rung: u8) -> Result<(), String> {
+        let (Some(terms), Some(r)) = (&self.terms, self.requests.get(&id)) else { return Ok(()) };
+        if r.attempts >= terms.attempts {
+            return Err(format!("{id:?} has more attempts than are allowed"));
+        }
+        let (floor, top) = (terms.floors[r.class], terms.tops[r.class]);
+        let most = (r.top as u64).min(top).max(floor);
+        if !(floor..=most).contains(&u64::from(rung)) {
+            return Err(format!("{id:?} on rung {rung}, {floor} to {most} are allowed"));
+        }
+        let alike = |(other, o): &(&SessionId, &Request)| {
+            **other != id
+                && (o.class, o.title) == (r.class, r.title)
+                && (o.out.is_some() || self.seated.contains(other))
+        };
+        if terms.seats[r.class] > 0
+            && self.requests.iter().filter(alike).count() as u64 >= terms.seats[r.class]
+        {
+            return Err(format!("{id:?} has no seat"));
+        }
+        if let Some((share, free, window)) = terms.ration.filter(|_| r.attempts > 0) {
+            let late = |all: &[Time]| all.iter().filter(|t| **t + window > now).count() as f64;
+            // The protocol's slack: 15 in 100 and one.
+            if late(&self.further) + 1.0 > (free + share * late(&self.taken)) * 1.15 + 1.0 {
+                return Err(format!("{id:?} is tried again past the ration"));
+            }
+            self.further.push(now);
+        }
+        Ok(())
+    }
+
     /// What goes into the core, before it is handed in.
     pub fn input(&mut self, now: Time, input: &Input) {
         match input {
             Input::Opened(conn, _) => drop(self.conns.insert(conn.0)),
             Input::Ask(conn, ask) if self.conns.contains(&conn.0) && !self.requests.contains_key(&ask.id) => {
-                let paid = ask.wish.class.0 == 1;
+                let paid = self.paid[usize::from(ask.wish.class.0)];
                 let due = now + ask.wish.patience + SLACK;
-                self.requests.insert(ask.id, Request { paid, due, conn: conn.0, ..Request::default() });
+                let (class, title, top) = (usize::from(ask.wish.class.0), ask.wish.title.0, ask.wish.top);
+                let new = Request { class, title, top, paid, due, conn: conn.0, ..Request::default() };
+                self.requests.insert(ask.id, new);
+                self.taken.push(now);
             }
             Input::Ask(conn, ask) => {
                 // A second request under one id: on the same connection it takes the first one along.
@@ -49,6 +133,7 @@
             }
             Input::End(_, id) => {
                 self.standing.remove(id);
+                self.seated.remove(id);
                 if let Some(r) = self.requests.get_mut(id) {
                     r.dropped = true;
                 }
@@ -75,6 +160,9 @@
         let (FromNode::Plays(id, ..) | FromNode::Ended(id, ..) | FromNode::Over(id, ..)) = said else {
             return;
         };
+        if matches!(said, FromNode::Over(..)) {
+            self.seated.remove(id);
+        }
         let Some(r) = self.requests.get_mut(id).filter(|r| r.out == Some(link)) else { return };
         r.out = None;
         match said {
@@ -104,14 +192,16 @@
     }
 
     fn judge_node(&mut self, now: Time, link: LinkId, word: &ToNode) -> Result<(), String> {
-        let address = self.links.get(&link).ok_or("a word to a connection that is no more")?;
+        let address = *self.links.get(&link).ok_or("a word to a connection that is no more")?;
         if self.shut.contains(&link) {
             return Err(format!("a word to {link:?} after it was shut"));
         }
         match word {
-            ToNode::SetUp { id, .. } => {
+            ToNode::SetUp { id, rung, .. } => {
+                self.judge_terms(now, *id, *rung)?;
+                self.seen[0] += 1;
                 let r = self.requests.get_mut(id).ok_or("a set-up that nobody asked for")?;
-                if !self.ready.contains(address) {
+                if !self.ready.contains(&address) {
                     return Err(format!("{id:?} sent to a node that is not ready"));
                 }
                 if r.out.is_some() {
@@ -124,6 +214,7 @@
                     return Err(format!("{id:?} sent though nobody waits for it"));
                 }
                 (r.out, r.may_have_run) = (Some(link), true);
+                r.attempts += 1;
             }
             ToNode::GiveUp(id, _) => {
                 if let Some(r) = self.requests.get_mut(id) {
@@ -141,6 +232,7 @@
             ToViewer::Refused(id, _) => (id, None, true),
             ToViewer::Failed(id) => (id, None, false),
             ToViewer::Over(id, ..) | ToViewer::Move(id, _) => {
+                self.seated.remove(id);
                 let stood = if matches!(word, ToViewer::Over(..)) {
                     self.standing.remove(id)
                 } else {
@@ -169,7 +261,10 @@
                 return Err(format!("{id:?} is served with what no node made for it"));
             }
             self.standing.insert(*id);
+            self.seated.insert(*id);
+            self.seen[1] += 1;
         }
+        self.seen[2] += usize::from(refused);
         r.answered = true;
         Ok(())
     }
--- a/crates/platform/src/core/tests/histories.rs
+++ b/crates/platform/src/core/tests/histories.rs
@@ -5,23 +5,28 @@
 use proptest::prelude::*;
 
 /// A world whose every word passes the checker.
-struct Judged {
+pub struct Judged {
     world: World,
     checker: Checker,
     dials: Vec<LinkId>,
     links: Vec<LinkId>,
     shut: Vec<LinkId>,
     sent: Vec<(LinkId, SessionId)>,
-    next: u64,
+    pub next: u64,
     conn: u64,
     fault: Option<String>,
 }
 
 impl Judged {
     fn new() -> Self {
+        Self::of(&settings(), 256, vec![false, true])
+    }
+
+    /// A front under these settings, with so many descriptors; `paid` classes may never be set up twice.
+    pub fn of(settings: &Value, descriptors: usize, paid: Vec<bool>) -> Self {
         let nodes = [1, 2, 3].map(|id| node(id, State::Ready));
-        let mut world = World::new(&[]);
-        let mut checker = Checker::default();
+        let mut world = World::of(settings, descriptors, &[]);
+        let mut checker = Checker::new(paid, settings);
         checker.input(T0, &Input::Opened(ConnId(1), HERE));
         world.out.clear();
         let mut j = Self {
@@ -64,7 +69,31 @@
         self.take(out);
     }
 
-    fn pass(&mut self, time: Time) {
+    pub fn ask(&mut self, ask: Ask) {
+        self.tell(Input::Ask(ConnId(self.conn), ask));
+        self.next += 1;
+    }
+
+    /// The node of the latest set-up says that it plays.
+    pub fn latest_plays(&mut self) {
+        if let Some((link, id)) = self.sent.last().copied() {
+            self.tell(Input::Node(link, plays(id.0)));
+        }
+    }
+
+    /// Set-ups, answers that play and refusals.
+    pub fn seen(&self) -> [usize; 3] {
+        self.checker.seen
+    }
+
+    /// What the checker has against the history, once every time is up.
+    pub fn verdict(&self) -> Result<(), String> {
+        self.fault.clone().map_or(Ok(()), Err)?;
+        self.checker.end()?;
+        if self.world.core.open() == 0 { Ok(()) } else { Err("a request is open for ever".to_owned()) }
+    }
+
+    pub fn pass(&mut self, time: Time) {
         // Timers run one by one, so that the checker sees each word at its time.
         let end = self.world.now + time;
         while let Some(at) = self.world.core.next_wake().filter(|at| *at <= end) {
@@ -74,7 +103,7 @@
         self.world.now = end;
     }
 
-    fn step(&mut self, what: u8, which: usize) {
+    pub fn step(&mut self, what: u8, which: usize) {
         let pick = |n: usize| if n == 0 { None } else { Some(which % n) };
         match what % 16 {
             0..=3 => {
@@ -208,3 +237,38 @@
     let word = Effect::Write(link, ToNode::Heard(SessionId(1)));
     assert!(fault(&mut j, &word).contains("after it was shut"));
 }
+
+#[test]
+fn the_checker_sees_terms_that_are_broken() {
+    let set_up = |rung| {
+        let body = Bytes::new();
+        Effect::Write(
+            LinkId(1),
+            ToNode::SetUp { id: SessionId(2), title: 7, class: 0, wait_ms: 1, rung, body },
+        )
+    };
+    let judge = |v: &Value, rung: u8, sent: usize| {
+        let mut j = Judged::of(v, 256, vec![false, true]);
+        j.tell(Input::Ask(ConnId(1), ask(1, 0)));
+        let link = j.dials[0];
+        j.tell(Input::LinkUp(link));
+        j.tell(Input::Ask(ConnId(1), ask(2, 0)));
+        let Effect::Write(_, word) = set_up(rung) else { unreachable!() };
+        let mut last = Ok(());
+        for _ in 0..sent {
+            last = j.checker.effect(j.world.now, &Effect::Write(link, word.clone()));
+            let full = FromNode::Ended(SessionId(2), Outcome::Full, Vec::new());
+            j.checker.input(j.world.now, &Input::Node(link, full));
+        }
+        last
+    };
+    let mut v = settings();
+    assert_eq!(judge(&v, 1, 3), Ok(()));
+    assert!(judge(&v, 2, 1).is_err_and(|e| e.contains("rung")));
+    assert!(judge(&v, 1, 4).is_err_and(|e| e.contains("more attempts")));
+    v["specifics"]["seats"] = json!([1, 0]);
+    assert!(judge(&v, 1, 1).is_err_and(|e| e.contains("seat")));
+    v = settings();
+    (v["rules"]["extra_per_request"], v["rules"]["min_extra"]) = (json!(0.0), json!(0.0));
+    assert!(judge(&v, 1, 3).is_err_and(|e| e.contains("ration")));
+}
