--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -7,7 +7,8 @@
 use super::*;
 use pepperhook::Outcome;
 
-/// After a give-up the node is heard out so long: the way there and back, and its work in between.
+/// After a give-up the node is heard out so long: the way there and back, and its work in between. No settings name the way;
+/// where a word comes later, the give-up that it crossed ends the session at its node.
 const GRACE: Time = 30 * MS;
 
 /// One attempt.
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -6,9 +6,11 @@
 use super::*;
 use pepperhook::Outcome;
 
-/// Words that wait for a connection to come up, at most; later ones are dropped, rungs among them.
+/// Words that wait for a connection to come up, at most; later ones are dropped, rungs among them. One a session suffices, and
+/// a dial lasts no longer than the settings' time for it.
 const QUEUED: usize = 256;
-/// A dial that failed on its way is made again, so many times in all.
+/// A dial that failed on its way is made again, so many times in all: once tells chance from a fault on this side, whatever
+/// the settings are.
 const DIALS: u8 = 2;
 
 /// How far a connection has come.
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -35,7 +35,8 @@
 const MARGIN: Time = 250 * MS;
 /// After a time-out a node is in doubt if it has said nothing for so long; one that was asked for a sign has so long.
 pub const UNHEARD: Time = 500 * MS;
-/// Sessions that were released without their node's word and may stand there still, at most.
+/// Sessions that were released without their node's word and may stand there still, at most. It bounds memory; a node runs as
+/// many streams as the settings say, a front holds its part of them.
 const CUTS: usize = 512;
 
 /// One life of a node.
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use pepperhook::{NoteKind, Outcome};
 
-/// The node's word on a moved session is waited for so long.
+/// The node's word on a moved session is waited for so long: well within the second in which the protocol wants a viewer told.
 const MOVED: Time = 300 * MS;
 /// Causes of an end as they go to a viewer: played to its end, ended on purpose, cut.
 const ENDED: u16 = 16;
