--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -6,9 +6,11 @@
 use super::*;
 use pepperhook::Outcome;
 
-/// Words that wait for a connection to come up, at most; later ones are dropped, rungs among them.
+/// Words that wait for a connection to come up, at most; later ones are dropped, rungs among them. One a session suffices, and
+/// a dial lasts no longer than the settings' time for it.
 const QUEUED: usize = 256;
-/// A dial that failed on its way is made again, so many times in all.
+/// A dial that failed on its way is made again, so many times in all: once tells chance from a fault on this side, whatever
+/// the settings are.
 const DIALS: u8 = 2;
 
 /// How far a connection has come.
@@ -377,8 +379,12 @@
     /// A connection of a node that carries nothing, if there is another that is up: rather one that never carried a
     /// set-up, then the one used longest ago.
     pub(super) fn spare(&self, life: LifeId) -> Option<LinkId> {
-        let another = self.ups(life).count() > 1;
-        let idle = self.ups(life).filter(|(_, l)| another && l.idle());
+        self.idle(life).filter(|_| self.ups(life).count() > 1)
+    }
+
+    /// The same, its only one included.
+    pub(super) fn idle(&self, life: LifeId) -> Option<LinkId> {
+        let idle = self.ups(life).filter(|(_, l)| l.idle());
         idle.min_by_key(|(_, l)| (l.carried, l.used)).map(|(link, _)| link)
     }
 
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use pepperhook::{NoteKind, Outcome};
 
-/// The node's word on a moved session is waited for so long.
+/// The node's word on a moved session is waited for so long: well within the second in which the protocol wants a viewer told.
 const MOVED: Time = 300 * MS;
 /// Causes of an end as they go to a viewer: played to its end, ended on purpose, cut.
 const ENDED: u16 = 16;
@@ -70,6 +70,8 @@
             return self.at(now + LATE, Wake::Handed(id));
         };
         let phase = Phase::Standing(life, now);
+        // The description is of no further use, and thousands of long ones would fill the memory.
+        let ask = Ask { body: Bytes::new(), ..ask };
         self.sessions.insert(id, Session { ask, conn, peer, rung: 0, attempts: 1, phase });
         self.stands(life, conn, id);
         self.became_good(now, conn, out);
@@ -128,6 +130,8 @@
                 self.take_attempt(id);
                 let Some(s) = self.sessions.get_mut(&id) else { return };
                 s.phase = Phase::Standing(life, now);
+                // No further attempt takes the description.
+                s.ask.body = Bytes::new();
                 self.open -= 1;
                 let conn = s.conn;
                 if let Some(conn) = self.conns.get_mut(&conn) {
