--- a/crates/agreement/src/node/front.rs
+++ b/crates/agreement/src/node/front.rs
@@ -76,10 +76,10 @@
             self.asked.pop_front();
         }
         self.asked.push_back((self.question, now_ms));
-        let (question, vouched) = (self.question, self.hold.vouched());
+        let (question, vouched, hold_ms) = (self.question, self.hold.vouched(), self.s.hold_ms);
         let store = self.id.filter(|_| !self.stopped).map_or(0, |v| v.store);
         for to in whom {
-            self.say(now_ms, to, &Message::Look { question, vouched, store }, out);
+            self.say(now_ms, to, &Message::Look { question, vouched, hold_ms, store }, out);
         }
         if let (Some(id), Some((since, answer))) =
             (self.id, self.granted(now_ms, (self.s.me, self.s.run), question, vouched))
@@ -158,15 +158,16 @@
     ) {
         match message {
             Message::Told => {}
-            Message::Look { question, vouched, store } => {
+            Message::Look { question, vouched, hold_ms, store } => {
                 if self.stores.len() >= MOST_STORES {
                     self.stores.retain(|_, (_, at)| now_ms.saturating_sub(*at) < 10_000);
                 }
                 if store != 0 && (self.stores.len() < MOST_STORES || self.stores.contains_key(&from)) {
                     self.stores.insert(from, (store, now_ms));
                 }
-                // What a front of another fleet's state vouches for says nothing here.
-                let ours = head.origin == self.registers.origin();
+                // What a front of another fleet's state vouches for says nothing here, and one that would hold for longer
+                // than is granted must not.
+                let ours = head.origin == self.registers.origin() && hold_ms <= self.s.hold_ms;
                 let answer = if ours { self.granted(now_ms, (from, run), question, vouched) } else { None };
                 let (since, a) = answer.unwrap_or((0, Granted { granted: false, floor: 0, cleared: None }));
                 let store = self.id.map_or(0, |v| v.store);
--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -204,7 +204,8 @@
             self.stop(Note::Broken);
             return;
         };
-        let mut seat = Seat { voter, config, grants, sealed: BTreeSet::new(), open: BTreeMap::new(), entries: 0 };
+        let mut seat =
+            Seat { voter, config, grants, sealed: BTreeSet::new(), open: BTreeMap::new(), entries: 0 };
         seat.logs(&[Op::Log { from: 0, commands }]);
         self.notes.push(Note::Votes(seat.config.number));
         self.seat = Some(Box::new(seat));
--- a/crates/agreement/src/types.rs
+++ b/crates/agreement/src/types.rs
@@ -60,8 +60,8 @@
     Put {
         /// The register.
         subject: Subject,
-        /// Number of the entry that the register must stand at, 0 for a register that was never written; otherwise the
-        /// command changes nothing.
+        /// Number of the entry that the register must stand at, 0 for one that is empty; otherwise the command changes
+        /// nothing.
         expects: u64,
         /// At most [`MOST_BODY`] bytes.
         body: Vec<u8>,
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -43,6 +43,8 @@
         question: u64,
         /// It goes by what was agreed up to here.
         vouched: u64,
+        /// It counts a hold for so long, milliseconds: a voter that grants for less refuses.
+        hold_ms: u64,
         /// The front's own store, 0 if it has none.
         store: u64,
     },
