--- a/crates/agreement/src/node.rs
+++ b/crates/agreement/src/node.rs
@@ -172,6 +172,8 @@
     /// Messages between voters that leave once more: when, to whom.
     again: VecDeque<(u64, u64, Vec<u8>)>,
     may_again: Bucket,
+    /// What may leave at once, by voter.
+    direct: BTreeMap<u64, Bucket>,
     notes: Vec<Note>,
 }
 
@@ -220,6 +222,7 @@
             next_replace_ms: now_ms,
             pushed: (0, 0),
             again: VecDeque::new(),
+            direct: BTreeMap::new(),
             may_again: Bucket::new(now_ms, 100, 40),
             notes: Vec::new(),
             random,
--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -3,6 +3,7 @@
 use super::{Node, Note, Out};
 use crate::hold::{Granted, Grants};
 use crate::learn::Source;
+use crate::parcel::Bucket;
 use crate::reach::{Reach, Standing};
 use crate::registers::{Registers, sound_voters};
 use crate::store::{KeptLog, Op};
@@ -25,6 +26,8 @@
 const THERE_MS: u64 = 10_000;
 /// Bytes that may be on their way to a voter before more is let go as lost: a second and a half at the parcels' pace.
 const MOST_LEFT: usize = 96 * 1024;
+/// Messages to a voter that leave at once, a second; more go together.
+const DIRECT: u64 = 30;
 /// A message between voters leaves once more after this, as long as there are few, milliseconds.
 const AGAIN_MS: u64 = 40;
 /// The leader tells those it grants to of new entries this often at most, milliseconds.
@@ -198,6 +201,7 @@
     fn seat(&mut self, now_ms: u64, config: Config, log: KeptLog, grants: Option<Grants>) {
         let Some(id) = self.id else { return };
         let since = self.registers.since();
+        self.direct.retain(|front, _| config.voters.iter().any(|v| v.front == *front));
         let grants = grants.unwrap_or_else(|| Grants::new(now_ms, self.s.hold_ms, since, self.durable));
         let commands = log.commands.clone();
         let Ok(voter) = Voter::new(id, config.clone(), log, self.random.random()) else {
@@ -306,8 +310,11 @@
         }
         let message = Message::Consensus { standing: self.standing(), to: to.store, bytes };
         let bytes = encode(&self.own_head(), &message);
-        if bytes.len() > MOST_MESSAGE || (!urgent && self.parcels.is_busy(to.front)) {
-            // A shorter one must not overtake a longer one.
+        let direct = self.direct.entry(to.front).or_insert_with(|| Bucket::new(now_ms, DIRECT, DIRECT));
+        let paced = urgent || (!self.parcels.is_busy(to.front) && direct.take(now_ms));
+        if bytes.len() > MOST_MESSAGE || !paced {
+            // A shorter one must not overtake a longer one; and many go together, since the exchange drops what is more than
+            // 128 a second.
             self.parcels.send(now_ms, to.front, bytes);
             return;
         }
