--- a/crates/agreement/src/node/seat.rs
+++ b/crates/agreement/src/node/seat.rs
@@ -186,6 +186,7 @@
         let state = genesis.as_ref().unwrap_or(&self.registers);
         let Some(begins) = state.config().cloned() else { return };
         let (snapshot, durable) = (state.snapshot(), state.number());
+        self.kept = None;
         self.begun = Some(Begun { config, genesis, grants, durable });
         let ops = vec![Op::Begin { config: begins, snapshot }];
         self.written.write(&ops);
--- a/crates/agreement/src/proposals.rs
+++ b/crates/agreement/src/proposals.rs
@@ -1,6 +1,7 @@
 //! Commands that this front proposed and that have not come yet. They are sent again under the same key, to one voter
 //! after another, until they are applied here or their time is over.
 
+use crate::parcel::Bucket;
 use crate::registers::{Outcome, Registers};
 use crate::types::{Command, Key};
 use std::collections::BTreeMap;
@@ -9,8 +10,11 @@
 pub const MOST_PROPOSALS: usize = 64;
 /// One is sent again after this, milliseconds.
 const AGAIN_MS: u64 = 500;
-/// After a voter declined, milliseconds.
+/// After a voter declined and named the leader, milliseconds.
 const SOON_MS: u64 = 60;
+/// Messages with proposals a second, and at once: the exchange takes 128 datagrams a second from a front.
+const RATE: u64 = 48;
+const BURST: u64 = 24;
 
 /// What came of a proposal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -44,6 +48,7 @@
 #[derive(Debug, Default)]
 pub struct Proposals {
     open: BTreeMap<Key, Open>,
+    budget: Option<Bucket>,
 }
 
 impl Proposals {
@@ -82,8 +87,11 @@
     pub fn declined(&mut self, now_ms: u64, key: Key, leader: Option<u64>) {
         if let Some(open) = self.open.get_mut(&key) {
             open.leader = leader;
-            // Two that send each other on are not to be asked at every message.
-            open.next_ms = open.next_ms.min(now_ms.saturating_add(SOON_MS));
+            // Two that send each other on are not to be asked at every message. One that names nobody has no room now, or
+            // knows of no leader.
+            if leader.is_some() {
+                open.next_ms = open.next_ms.min(now_ms.saturating_add(SOON_MS));
+            }
         }
     }
 
@@ -117,7 +125,14 @@
         if voters.is_empty() {
             return due;
         }
-        for open in self.open.values_mut().filter(|o| o.next_ms <= now_ms) {
+        let budget = self.budget.get_or_insert_with(|| Bucket::new(now_ms, RATE, BURST));
+        // Those that have waited longest go first.
+        let mut waiting: Vec<&mut Open> = self.open.values_mut().filter(|o| o.next_ms <= now_ms).collect();
+        waiting.sort_by_key(|o| o.next_ms);
+        for open in waiting {
+            if !budget.take(now_ms) {
+                break;
+            }
             let to = open.leader.take().or(leads);
             let to =
                 to.filter(|l| voters.contains(l)).or_else(|| voters.get(open.turn % voters.len()).copied());
--- a/crates/agreement/tests/measure.rs
+++ b/crates/agreement/tests/measure.rs
@@ -16,9 +16,9 @@
 #[ignore = "prints figures"]
 fn measure() {
     println!(
-        "| fronts | lost | ms to applied everywhere, p50 / p99 / most | ms to settled | bytes/s idle, a front | a voter |"
+        "| fronts | lost | ms to applied everywhere, p50 / p99 / most | ms to settled | bytes/s idle, a front | a voter | holds lapsed, a front and hour |"
     );
-    println!("| --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
     for n in [9, 240] {
         for loss in [0.0, 0.2, 0.5] {
             let mut world = World::new(n, 5, 77, loss);
@@ -26,6 +26,7 @@
             world.fronts.values_mut().for_each(|f| f.slow = 0);
             world.until(60_000, |w| w.holders() as u64 * 100 >= n * 95);
             world.pass(2_000);
+            let (lapses, since) = (world.lapses, world.now);
             let (mut applied, mut settled) = (Vec::new(), Vec::new());
             for i in 0..if n > 20 { 60 } else { 200 } {
                 let who = world.random.random_range(1..=n);
@@ -49,10 +50,12 @@
             let rate = |f: u64| (world.sent[&f] - before[&f]) / 10;
             let voters: u64 = (1..=5).map(rate).sum::<u64>() / 5;
             let rest: u64 = (6..=n).map(rate).sum::<u64>() / (n - 5);
+            let hours = (world.now - since) as f64 * n as f64 / 3_600_000.0;
             println!(
-                "| {n} | {loss} | {} | {} | {rest} | {voters} |",
+                "| {n} | {loss} | {} | {} | {rest} | {voters} | {:.1} |",
                 percentiles(applied),
-                percentiles(settled)
+                percentiles(settled),
+                (world.lapses - lapses) as f64 / hours
             );
             assert!(world.checker.wrong.is_empty(), "{:?}", world.checker.wrong);
         }
--- a/crates/agreement/tests/sim/mod.rs
+++ b/crates/agreement/tests/sim/mod.rs
@@ -106,6 +106,8 @@
     pub checker: Checker,
     taken: BTreeMap<(u64, u64), (f64, u64)>,
     pub dropped: u64,
+    /// Holds that ran out.
+    pub lapses: u64,
     pub bytes: u64,
     pub datagrams: u64,
     pub sent: BTreeMap<u64, u64>,
@@ -156,6 +158,7 @@
             checker: Checker::new(1),
             taken: BTreeMap::new(),
             dropped: 0,
+            lapses: 0,
             bytes: 0,
             datagrams: 0,
             sent: BTreeMap::new(),
@@ -340,7 +343,7 @@
                     f.vouches.push_back((now + f.slow, number));
                 }
                 Out::Settled(number) => self.checker.told_settled(number),
-                Out::Held(_) => {}
+                Out::Held(holds) => self.lapses += u64::from(!holds),
                 Out::Proposed { key, answer } => {
                     if let Some(slot) = self.front(me).proposed.get_mut(&key.0) {
                         assert!(slot.is_none(), "a proposal is answered once");
