--- a/crates/platform/src/core/tests/lists.rs
+++ b/crates/platform/src/core/tests/lists.rs
@@ -27,6 +27,7 @@
 #[test]
 fn a_dial_under_way_to_a_node_that_leaves_the_list_is_taken_back() {
     let mut w = World::new(&[node(1, State::Ready)]);
+    w.core.probing = true;
     let (old, _) = w.standing(1);
     let (late, _) = dialled(&w.pass(6 * S)).expect("a quiet node is dialled");
     let new = started(&w, Entry { id: 4, ..node(1, State::Ready) });
