What is usual on links follows own demand since a reading, so that a wave is seen as it comes

Cause: `learn_usual` is a mean of readings one to ten seconds old, and demand doubles in two. Own rates are the one sample of everybody's demand that is never late.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -296,11 +296,20 @@
     /// nothing was, own sessions stand for those of an average front.
     fn learn_usual(&mut self, now: Time) {
         let own = self.servers.values().map(|s| s.own_kb).sum::<f64>() * f64::from(self.set.fronts);
+        // Departure: own demand is a sample of all fronts'. Readings are late, so that what has come and gone
+        // here since one is taken to have done so elsewhere, up to twice; not what a start hands over.
+        let kb: f64 = self.servers.values().map(|s| s.own_kb).sum();
+        let one = self.set.ladder.iter().map(|r| r.kb).sum::<f64>() / self.set.ladder.len() as f64;
+        let begun = self.began.map_or(0, |t| t.saturating_add(SETTLED));
+        let grown = |at: Time| {
+            let change: f64 = self.racks.iter().map(|r| r.changes.since(at.max(begun))).sum();
+            ((kb + one) / ((kb - change).max(0.0) + one)).clamp(0.5, 2.0)
+        };
         let mean = |seen: &mut dyn Iterator<Item = Reading>, all: f64| {
             let guess = if own > 0.0 { (own / all).clamp(BLIND / 2.0, MARK) } else { BLIND };
             let sum = seen.fold((guess * GUESS, GUESS), |sum, r| {
                 let weight = (-seconds(now.saturating_sub(r.at)) / seconds(WINDOW)).exp();
-                (sum.0 + weight * r.used, sum.1 + weight)
+                (sum.0 + weight * r.used * grown(r.at), sum.1 + weight)
             });
             sum.0 / sum.1
         };
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -474,3 +474,25 @@
     assert_eq!(refused_after(true), (true, true), "links that are short are told each second");
     assert_eq!(refused_after(false), (false, false), "links that were short four seconds ago");
 }
+
+/// What was read of links is late: in a wave of viewers fronts placed by what links had been before it, and after it turned
+/// viewers away by what they had been in it.
+#[test]
+fn what_is_usual_follows_own_demand_since_the_reading() {
+    let usual = |came: u64, ended: u64| {
+        let servers: Vec<_> = (0..8).map(|i| server(i + 1, i % 4)).collect();
+        let mut f = Front::new(settings(), &servers);
+        (0..6).for_each(|n| f.under_way(n, wish(n, 0.0, 1.0), 1, 2));
+        f.pass(3 * S);
+        f.note(0, 1, NoteKind::LinkUse, 0.5);
+        f.pass(S);
+        (10..10 + came).for_each(|n| f.under_way(n, wish(n, 0.0, 1.0), 1, 2));
+        (0..ended).for_each(|n| drop(f.end(n, ServerId(1), Outcome::Served, true)));
+        f.pass(S);
+        // A link of which nothing was read.
+        f.controller.view(f.now).0.iter().find(|s| s.entry.server == ServerId(8)).map_or(0.0, |s| s.link_use)
+    };
+    let (fell, steady, grew) = (usual(0, 4), usual(0, 0), usual(6, 0));
+    assert!(fell + 0.05 < steady && steady + 0.05 < grew, "{fell} {steady} {grew}");
+    assert!(usual(60, 0) <= 2.0 * 0.5, "one front's jump is no measure of all");
+}
