The fleet's time of a front goes on while its machine is suspended

A front's hold, its grants as a voter and its leases were counted by CLOCK_MONOTONIC, which stands still in suspend: a front that came back held on by its own count for as long as it had been away, while the voters' grants had run out.

serve's part of the fleet now goes by a clock of its own (FleetTime: Unix time read once, then CLOCK_BOOTTIME through nix, without unsafe), at every call: a front that comes back finds its hold over before it takes the next set-up. The engine's and platform's clock (crates/net) and all timers are as they were; a timer that ends late after a suspend is harmless there. The start fails where the system has no such clock.

Tests: it goes on, counts a gap, never goes back.

--- a/crates/front/src/agreed.rs
+++ b/crates/front/src/agreed.rs
@@ -243,7 +243,7 @@
     if shell.config.agreement.is_none() {
         return;
     }
-    let fenced = shell.spread.fenced(shell.clock.now() / 1_000_000);
+    let fenced = shell.spread.fenced(shell.fleet_time.now_ms());
     if shell.spread.agreed.fenced.replace(fenced) != fenced {
         shell.drive(Input::Fenced(fenced));
     }
@@ -283,7 +283,7 @@
 
 /// What is in force here and stands, as JSON.
 pub fn shown(shell: &Shell) -> Option<serde_json::Value> {
-    let now_ms = shell.clock.now() / 1_000_000;
+    let now_ms = shell.fleet_time.now_ms();
     let (agreement, force, differs) = shell.spread.policy(now_ms, &shell.config)?;
     let mut shown = json!({"file-differs": differs, "agreement": agreement});
     if let Some((version, step, text)) = force {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 //! Arrows go one way: faces and shell know the engine, the engine knows neither.
 
 mod agreed;
+mod clock;
 mod console;
 mod console_policy;
 pub mod engine;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -1,5 +1,6 @@
 //! Carries out what the engine says: timers, sockets, answers. It decides nothing.
 
+use crate::clock::FleetTime;
 use crate::engine::types::*;
 use crate::engine::{Engine, Snapshot};
 use crate::http::Phase;
@@ -43,6 +44,8 @@
     pub config: Rc<Config>,
     /// Its clock.
     pub clock: Clock,
+    /// The clock of its fleet's part.
+    pub fleet_time: FleetTime,
     /// Key of the console.
     pub admin_key: String,
     engine: RefCell<Engine>,
@@ -121,7 +124,7 @@
     /// What the console shows.
     pub fn snapshot(&self) -> Snapshot {
         let mut s = self.engine.borrow().snapshot(self.clock.now());
-        self.spread.show(self.clock.now() / 1_000_000, &mut s);
+        self.spread.show(self.fleet_time.now_ms(), &mut s);
         s
     }
 
@@ -339,11 +342,12 @@
         let admin = TcpListener::bind(config.admin).await?;
         let (address, admin_address) = (listener.local_addr()?, admin.local_addr()?);
         let key = config.admin_key.clone().unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-        let clock = Clock::new();
-        let (spread, socket) = Spread::start(&config, clock.now() / 1_000_000).await?;
+        let (clock, fleet_time) = (Clock::new(), FleetTime::new()?);
+        let (spread, socket) = Spread::start(&config, fleet_time.now_ms()).await?;
         let upstream = Upstream::new(&config.name, rand::random(), Duration::from_nanos(config.connect_time));
         let shell = Rc::new(Shell {
             clock,
+            fleet_time,
             spread,
             admin_key: key,
             engine: RefCell::new(engine),
--- a/crates/front/src/spread.rs
+++ b/crates/front/src/spread.rs
@@ -302,7 +302,7 @@
     if body.len() > pepperhook_exchange::MOST_BODY {
         return Err(NotTaken::Long);
     }
-    let (now_ms, id) = (shell.clock.now() / 1_000_000, id(&said.name));
+    let (now_ms, id) = (shell.fleet_time.now_ms(), id(&said.name));
     let mut out = Vec::new();
     let merge =
         spread.fleet.borrow_mut().put(now_ms, id, said.end_ms.saturating_add(OUTLAST_MS), body, &mut out);
@@ -356,7 +356,7 @@
 /// Calls the fleet's part and carries out what it says.
 pub fn with<R>(shell: &Rc<Shell>, call: impl FnOnce(&mut Fleet, u64, &mut Vec<Out>) -> R) -> R {
     let mut out = Vec::new();
-    let r = call(&mut shell.spread.fleet.borrow_mut(), shell.clock.now() / 1_000_000, &mut out);
+    let r = call(&mut shell.spread.fleet.borrow_mut(), shell.fleet_time.now_ms(), &mut out);
     for o in out {
         match o {
             Out::Send(to, datagram) => shell.spread.send(to, &datagram),
@@ -467,7 +467,7 @@
 pub fn copy(shell: &Rc<Shell>, key: u64, copied: Option<&Copied>) {
     // What cannot be written must not be taken for a session that ended.
     let Ok(body) = copied.map(postcard::to_stdvec).transpose() else { return };
-    let kept = shell.spread.fleet.borrow_mut().keep(shell.clock.now() / 1_000_000, key, body);
+    let kept = shell.spread.fleet.borrow_mut().keep(shell.fleet_time.now_ms(), key, body);
     if let Err(why) = kept {
         let warned = shell.spread.warned.replace(shell.spread.warned.get() + 1);
         if warned % 1_000 == 0 {
