A rack of which no link was seen counts at the guess for an uplink

Seen: where reports carry no x1 and uplinks carry under two thirds of their racks' links, a front that has seen nothing refused every wish (39 of 39 at 0.6, 0.63, 0.65 of the links), and again within a minute of quiet after readings. Cause: without the gauge uplink_use took the sum of what links are asked, and that sum is of guesses, 0.6 of each link, where none was seen: 0.9 of the uplink and more, past where a newcomer may come. Whom nobody admits sees nothing, so it stayed.

Changed: where no link of a rack was seen within the time over which the usual is learnt (10 s) the sum is at most the guess for an uplink, or own sessions if they are more. Limiting only racks never seen at all would have left the refusals after quiet times.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -302,7 +302,10 @@
     fn uplink_use(&self, now: Time, rack: u32) -> f64 {
         let (state, uplink) = (&self.racks[rack as usize], self.set.uplink_kb);
         if !self.set.gauges.contains(&Gauge::Uplink) {
-            return self.rack_kb(now, rack) / uplink;
+            // Where no link is seen the guess is an uplink's: links' guesses summed could refuse all for ever.
+            let fresh = |s: &Server| self.seen(now, s).is_some_and(|r| r.at.saturating_add(WINDOW) > now);
+            let most = if self.in_rack(rack).any(fresh) { f64::INFINITY } else { self.usual.1 };
+            return (self.rack_kb(now, rack) / uplink).min(most.max(self.own_rack_kb(rack) / uplink));
         }
         let change = state.uplink.map_or(0.0, |r| state.changes.since(r.at) / uplink);
         self.estimate(now, state.uplink, self.usual.1, self.own_rack_kb(rack) / uplink, change)
