Copies: a stale claimant hears of later copies from guards and the last writer

Bids go to the guards and the last writer too, and one that asks the guards already stops at a bid that stands further.

--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -525,7 +525,10 @@
         match &held.claim {
             Claim::Quiet if look && held.yields_ms <= now_ms => {
                 held.claim = Claim::Bidding(now_ms, false);
-                let others = held.holders.clone();
+                // The writer and the guards may have copies of a later time, of a writer whom this one never heard.
+                let mut others: BTreeSet<u64> = held.holders.iter().copied().collect();
+                others.extend(config.guards.iter().map(|g| g.0));
+                others.insert(held.writer);
                 let bid = Message::Bid { stream, at };
                 others.into_iter().for_each(|front| self.send(front, &bid, out));
             }
@@ -704,8 +707,13 @@
                 let Some(held) = self.held.get_mut(&stream) else { return };
                 // Whoever stands further goes first, then the lower number.
                 let mine = held.copy.at();
-                if let Claim::Bidding(_, better) = &mut held.claim {
-                    *better |= (at, me) > (mine, from);
+                match &mut held.claim {
+                    Claim::Bidding(_, better) => *better |= (at, me) > (mine, from),
+                    Claim::Asking(..) if at > mine => {
+                        let rest = 3 * self.settings.lease_ms;
+                        (held.claim, held.yields_ms) = (Claim::Quiet, now_ms.saturating_add(rest));
+                    }
+                    _ => {}
                 }
                 // The writer may have let go of that one's copy before it fell silent: it was not asked, and is told.
                 if mine.is_whole() && mine > at {
