--- a/crates/replica/src/contest.rs
+++ b/crates/replica/src/contest.rs
@@ -1,4 +1,5 @@
-//! A writer that lost its lease and claims its stream back, against guards that are played by hand.
+//! A writer that lost its lease and claims its stream back, and a holder that claims a silent one's, against guards and others
+//! that are played by hand.
 
 use crate::lease::Answer;
 use crate::log::{Change, Grade, Position};
@@ -56,9 +57,8 @@
     Position { grade: Grade::Whole, epoch: 0, seq: 1 }
 }
 
-/// A writer that held its stream, lost its lease to a mere claimant of epoch 1, and claims it back under epoch 2.
-fn claiming_back() -> Stand {
-    let settings = Settings {
+fn settings() -> Settings {
+    Settings {
         me: 1,
         run: 1,
         zone: 0,
@@ -67,8 +67,12 @@
         lease_ms: LEASE_MS,
         period_ms: LOOK_MS,
         bytes_per_s: 400_000,
-    };
-    let mut writer = Replica::new(settings, 0);
+    }
+}
+
+/// A writer that held its stream, lost its lease to a mere claimant of epoch 1, and claims it back under epoch 2.
+fn claiming_back() -> Stand {
+    let mut writer = Replica::new(settings(), 0);
     writer.set_view((1..=5).map(|f| (f, Peer { run: 1, zone: f as u16 })).collect());
     let stream = StreamId { front: 1, run: 1, shard: 0, turn: 0 };
     let keys: Vec<u64> = (0..100).filter(|key| crate::replica::shard(*key) == 0).take(2).collect();
@@ -140,3 +144,59 @@
     stand.pass(LOOK_MS, &held);
     assert_eq!(stand.writer.keys().count(), 2);
 }
+
+/// A holder of a copy whose writer fell silent, and the time of its last word.
+fn orphan() -> (Replica, StreamId) {
+    let mut holder = Replica::new(Settings { me: 3, ..settings() }, 0);
+    let stream = StreamId { front: 1, run: 1, shard: 0, turn: 0 };
+    let guards = [1, 2, 4, 5, 6].map(|g| (g, 1)).to_vec();
+    let config = crate::Config { number: 0, guards, next: None };
+    let entries = vec![(7, 1, vec![1])];
+    let whole = Message::Whole { stream, epoch: 0, cut: 1, head: 1, after: None, until: None, entries };
+    let kept = Message::Kept { stream, epoch: 0, holders: vec![3, 8], config };
+    for message in [whole, kept] {
+        holder.receive(0, 1, &encode(&message), &mut Vec::new());
+    }
+    (holder, stream)
+}
+
+/// What a front says up to this time, of one stream: the time, to whom, what.
+fn said(front: &mut Replica, times: std::ops::Range<u64>) -> Vec<(u64, u64, Message)> {
+    let mut all = Vec::new();
+    for now in times.step_by(20) {
+        let mut out = Vec::new();
+        front.tick(now, &mut out);
+        let sent =
+            out.into_iter().filter_map(|o| if let Out::Send(to, b) = o { Some((to, b)) } else { None });
+        all.extend(sent.filter_map(|(to, bytes)| Some((now, to, decode(&bytes)?))));
+    }
+    all
+}
+
+#[test]
+fn a_bid_reaches_guards_and_the_last_writer_too() {
+    let (mut holder, _) = orphan();
+    let said = said(&mut holder, 0..2_000);
+    let bids = said.iter().filter(|(.., m)| matches!(m, Message::Bid { .. })).map(|(_, to, _)| *to);
+    assert_eq!(bids.collect::<std::collections::BTreeSet<_>>(), [1, 2, 4, 5, 6, 8].into());
+}
+
+#[test]
+fn a_bid_that_stands_further_ends_a_claim_and_one_that_stands_less_is_answered() {
+    let (mut holder, stream) = orphan();
+    let asks = |said: &[(u64, u64, Message)]| {
+        said.iter().filter(|(.., m)| matches!(m, Message::Hold { stream: s, .. } if *s == stream)).count()
+    };
+    // It bids after 1,400 ms and asks after 400 more.
+    assert!(asks(&said(&mut holder, 0..2_200)) > 0, "it asks the guards");
+    let mut out = Vec::new();
+    let nothing = Position { grade: Grade::Whole, epoch: 0, seq: 0 };
+    holder.receive(2_200, 8, &encode(&Message::Bid { stream, at: nothing }), &mut out);
+    let mine = Message::Bid { stream, at: first() };
+    assert_eq!(out, [Out::Send(8, encode(&mine))], "the other learns who stands further");
+    assert!(asks(&said(&mut holder, 2_200..2_600)) > 0, "and this one asks on");
+    let further = Position { seq: 9, ..first() };
+    holder.receive(2_600, 8, &encode(&Message::Bid { stream, at: further }), &mut Vec::new());
+    assert_eq!(asks(&said(&mut holder, 2_600..5_400)), 0, "it leaves the guards to the other");
+    assert!(asks(&said(&mut holder, 5_400..8_000)) > 0, "and asks again, should it not come to it");
+}
