--- /dev/null
+++ b/crates/cli/tests/common/platform.rs
@@ -0,0 +1,188 @@
+//! The command's `platform` as a process, and what tests on its sockets say and hear; it shares no code with it.
+#![allow(dead_code)]
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::spawn;
+use std::time::{Duration, Instant};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+
+/// A message as it passes: its head, and its body.
+#[derive(Debug)]
+pub struct Raw {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Raw {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let of = |l: &'_ str| l.split_once(": ").map(|(n, v)| (n.to_owned(), v.len()));
+        let line = self.head.lines().find(|l| of(l).is_some_and(|(n, _)| n.eq_ignore_ascii_case(name)))?;
+        line.split_once(": ").map(|(_, v)| v)
+    }
+}
+
+pub fn read(stream: &mut TcpStream) -> std::io::Result<Raw> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).and_then(|l| l.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body)?;
+    Ok(Raw { head, body })
+}
+
+pub fn message(first: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = format!("{first}\r\n");
+    fields.iter().for_each(|(n, v)| out += &format!("{n}: {v}\r\n"));
+    out += &format!("Content-Length: {}\r\n\r\n", body.len());
+    [out.as_bytes(), body].concat()
+}
+
+/// A change log that never has anything new and counts who asks; it hands out `frames` once.
+pub fn change_log(frames: Vec<u8>) -> (SocketAddr, Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let (tell, told) = channel();
+    spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), frames, tell) = (stream, frames.clone(), tell.clone()) else { return };
+            spawn(move || {
+                let mut last = [0; 8];
+                if stream.read_exact(&mut last).is_ok() && tell.send(u64::from_be_bytes(last)).is_ok() {
+                    let _ = stream.write_all(&frames);
+                    // Until the front goes.
+                    let _ = stream.read(&mut last);
+                }
+            });
+        }
+    });
+    (address, told)
+}
+
+pub fn config(nodes: &[SocketAddr], log: SocketAddr) -> Value {
+    let servers: Vec<_> = nodes
+        .iter()
+        .enumerate()
+        .map(|(i, a)| {
+            json!({"id": format!("s-{i:08x}"), "addr": a.to_string(), "zone": "z", "kind": "k", "cell": i,
+                   "state": "up", "weight": 1, "started_ms": 0})
+        })
+        .collect();
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"seq": 3, "results": [{"seq": 3, "fleet": {"version": 1, "full": true, "servers": servers}}]},
+        "settings": {
+            "n_instances": 1, "az": 0, "zones": ["z"], "flavors": ["k"],
+            "classes": [{"name": "lesson", "idempotency": "at_most_once", "aim_ns": 800_000_000u64,
+                         "deadline_ns": 3_000_000_000u64, "value": 1.0}],
+            "limits": {"max_attempts": 3, "dial_timeout_ns": 250_000_000, "conn_idle_ns": 15_000_000_000u64,
+                       "max_streams": 100, "probes": true},
+            "load_report": {"fields": ["x0", "x1"]},
+            "rules": {"cold_ns": 12_000_000_000u64, "fall_multiple": 2.5, "fall_ns": 2_000_000_000u64,
+                      "start_capacity": 0.4},
+            "specifics": {"groups": 1, "positions": 2, "highest_rung": [1], "lowest_rung": [0], "seats": [0],
+                          "scale_by_class": [1.0], "rung_kb": [200.0, 400.0], "ladder_worth": [0.4, 1.0],
+                          "kind_slots": [200], "uplink_kb": 900_000.0, "all_links_kb": 900_000.0,
+                          "kb_per_weight": 400_000.0},
+        },
+    })
+}
+
+/// A running front end, ended with the test.
+pub struct Front {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub lines: Receiver<String>,
+    pub file: tempfile::NamedTempFile,
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn front(config: &Value) -> Front {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), config.to_string()).expect("writes");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
+        .args(["platform", "--config"])
+        .arg(file.path())
+        .env_remove("BALANCER_NAME")
+        .env_remove("BALANCER_LISTEN")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let (tell, lines) = channel();
+    let stderr = child.stderr.take().expect("piped");
+    spawn(move || {
+        BufReader::new(stderr).lines().map_while(Result::ok).try_for_each(|l| tell.send(plain(&l)))
+    });
+    let ready = wait(&lines, "listening");
+    let address =
+        ready.split("address=").nth(1).and_then(|a| a.split(' ').next()).and_then(|a| a.parse().ok());
+    Front { child, address: address.expect("an address"), lines, file }
+}
+
+/// A line without its colours.
+fn plain(line: &str) -> String {
+    let mut out = String::new();
+    let mut rest = line;
+    while let Some((before, after)) = rest.split_once('\x1b') {
+        out += before;
+        rest = after.split_once('m').map_or("", |(_, r)| r);
+    }
+    out + rest
+}
+
+pub fn wait(lines: &Receiver<String>, what: &str) -> String {
+    let until = Instant::now() + 10 * SECOND;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = lines.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {what:?}"));
+        if line.contains(what) {
+            return line;
+        }
+    }
+}
+
+impl Front {
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("connects");
+        stream.set_read_timeout(Some(5 * SECOND)).expect("a time");
+        stream
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        nix::sys::signal::kill(pid, name.parse::<nix::sys::signal::Signal>().expect("a signal"))
+            .expect("sent");
+    }
+}
+
+/// One frame of the change log: one record of a node, by the protocol's layout.
+pub fn changed(number: u64, id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
+    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend(v4.ip().octets());
+    record.extend(v4.port().to_be_bytes());
+    record.extend([state, 0, 0]);
+    record.extend(0u16.to_be_bytes());
+    record.extend(1_000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    let mut frame = ((9 + record.len()) as u32).to_be_bytes().to_vec();
+    frame.extend(number.to_be_bytes());
+    frame.push(2);
+    frame.extend(record);
+    frame
+}
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -1,50 +1,17 @@
 //! `pepperhook platform` as a process on loopback: scripted nodes, viewers and a change log that share no code with it.
 
+#[path = "common/platform.rs"]
+mod given;
+
+use given::*;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread::spawn;
 use std::time::{Duration, Instant};
 
-const SECOND: Duration = Duration::from_secs(1);
-
-/// A message as it passes: its head, and its body.
-#[derive(Debug)]
-struct Raw {
-    head: String,
-    body: Vec<u8>,
-}
-
-impl Raw {
-    fn field(&self, name: &str) -> Option<&str> {
-        let of = |l: &'_ str| l.split_once(": ").map(|(n, v)| (n.to_owned(), v.len()));
-        let line = self.head.lines().find(|l| of(l).is_some_and(|(n, _)| n.eq_ignore_ascii_case(name)))?;
-        line.split_once(": ").map(|(_, v)| v)
-    }
-}
-
-fn read(stream: &mut TcpStream) -> std::io::Result<Raw> {
-    let (mut head, mut byte) = (Vec::new(), [0]);
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte)?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).and_then(|l| l.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    stream.read_exact(&mut body)?;
-    Ok(Raw { head, body })
-}
-
-fn message(first: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut out = format!("{first}\r\n");
-    fields.iter().for_each(|(n, v)| out += &format!("{n}: {v}\r\n"));
-    out += &format!("Content-Length: {}\r\n\r\n", body.len());
-    [out.as_bytes(), body].concat()
-}
-
 const EXTRAS: &str = "home:0;copies:2;top:4;viewer:00000000000000aa";
 
 fn set_up(id: &str) -> Vec<u8> {
@@ -94,135 +61,11 @@
     (address, told)
 }
 
-/// A change log that never has anything new and counts who asks; it hands out `frames` once.
-fn change_log(frames: Vec<u8>) -> (SocketAddr, Receiver<u64>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-    let address = listener.local_addr().expect("an address");
-    let (tell, told) = channel();
-    spawn(move || {
-        for stream in listener.incoming() {
-            let (Ok(mut stream), frames, tell) = (stream, frames.clone(), tell.clone()) else { return };
-            spawn(move || {
-                let mut last = [0; 8];
-                if stream.read_exact(&mut last).is_ok() && tell.send(u64::from_be_bytes(last)).is_ok() {
-                    let _ = stream.write_all(&frames);
-                    // Until the front goes.
-                    let _ = stream.read(&mut last);
-                }
-            });
-        }
-    });
-    (address, told)
-}
-
-fn config(nodes: &[SocketAddr], log: SocketAddr) -> Value {
-    let servers: Vec<_> = nodes
-        .iter()
-        .enumerate()
-        .map(|(i, a)| {
-            json!({"id": format!("s-{i:08x}"), "addr": a.to_string(), "zone": "z", "kind": "k", "cell": i,
-                   "state": "up", "weight": 1, "started_ms": 0})
-        })
-        .collect();
-    json!({
-        "name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.to_string(),
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-        "known": {"seq": 3, "results": [{"seq": 3, "fleet": {"version": 1, "full": true, "servers": servers}}]},
-        "settings": {
-            "n_instances": 1, "az": 0, "zones": ["z"], "flavors": ["k"],
-            "classes": [{"name": "lesson", "idempotency": "at_most_once", "aim_ns": 800_000_000u64,
-                         "deadline_ns": 3_000_000_000u64, "value": 1.0}],
-            "limits": {"max_attempts": 3, "dial_timeout_ns": 250_000_000, "conn_idle_ns": 15_000_000_000u64,
-                       "max_streams": 100, "probes": true},
-            "load_report": {"fields": ["x0", "x1"]},
-            "rules": {"cold_ns": 12_000_000_000u64, "fall_multiple": 2.5, "fall_ns": 2_000_000_000u64,
-                      "start_capacity": 0.4},
-            "specifics": {"groups": 1, "positions": 2, "highest_rung": [1], "lowest_rung": [0], "seats": [0],
-                          "scale_by_class": [1.0], "rung_kb": [200.0, 400.0], "ladder_worth": [0.4, 1.0],
-                          "kind_slots": [200], "uplink_kb": 900_000.0, "all_links_kb": 900_000.0,
-                          "kb_per_weight": 400_000.0},
-        },
-    })
-}
-
-/// A running front end, ended with the test.
-struct Front {
-    child: Child,
-    address: SocketAddr,
-    lines: Receiver<String>,
-    file: tempfile::NamedTempFile,
-}
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn front(config: &Value) -> Front {
-    let file = tempfile::NamedTempFile::new().expect("a file");
-    std::fs::write(file.path(), config.to_string()).expect("writes");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
-        .args(["platform", "--config"])
-        .arg(file.path())
-        .env_remove("BALANCER_NAME")
-        .env_remove("BALANCER_LISTEN")
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("starts");
-    let (tell, lines) = channel();
-    let stderr = child.stderr.take().expect("piped");
-    spawn(move || {
-        BufReader::new(stderr).lines().map_while(Result::ok).try_for_each(|l| tell.send(plain(&l)))
-    });
-    let ready = wait(&lines, "listening");
-    let address =
-        ready.split("address=").nth(1).and_then(|a| a.split(' ').next()).and_then(|a| a.parse().ok());
-    Front { child, address: address.expect("an address"), lines, file }
-}
-
-/// A line without its colours.
-fn plain(line: &str) -> String {
-    let mut out = String::new();
-    let mut rest = line;
-    while let Some((before, after)) = rest.split_once('\x1b') {
-        out += before;
-        rest = after.split_once('m').map_or("", |(_, r)| r);
-    }
-    out + rest
-}
-
-fn wait(lines: &Receiver<String>, what: &str) -> String {
-    let until = Instant::now() + 10 * SECOND;
-    loop {
-        let left = until.saturating_duration_since(Instant::now());
-        let line = lines.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {what:?}"));
-        if line.contains(what) {
-            return line;
-        }
-    }
-}
-
-impl Front {
-    fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).expect("connects");
-        stream.set_read_timeout(Some(5 * SECOND)).expect("a time");
-        stream
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
-        nix::sys::signal::kill(pid, name.parse::<nix::sys::signal::Signal>().expect("a signal"))
-            .expect("sent");
-    }
-
-    /// Asks on a connection of its own; the answer's first line.
-    fn asks(&self, id: &str) -> Raw {
-        let mut stream = self.connect();
-        stream.write_all(&set_up(id)).expect("writes");
-        read(&mut stream).expect("an answer")
-    }
+/// Asks on a connection of its own.
+fn asks(front: &Front, id: &str) -> Raw {
+    let mut stream = front.connect();
+    stream.write_all(&set_up(id)).expect("writes");
+    read(&mut stream).expect("an answer")
 }
 
 #[test]
@@ -307,7 +150,7 @@
         })
         .collect();
     for i in 0..10 {
-        let answer = front.asks(&format!("{:016x}", 0xe0 + i));
+        let answer = asks(&front, &format!("{:016x}", 0xe0 + i));
         assert!(answer.head.starts_with("RTSP/1.0 200"), "{answer:?}");
     }
     for one in each {
@@ -327,7 +170,7 @@
     let front = front(&config(&[address], change_log(Vec::new()).0));
     let mut silent: Vec<TcpStream> = (0..300).map(|_| front.connect()).collect();
     for i in 0..5 {
-        assert!(front.asks(&format!("{:016x}", 0xa0 + i)).head.starts_with("RTSP/1.0 200"));
+        assert!(asks(&front, &format!("{:016x}", 0xa0 + i)).head.starts_with("RTSP/1.0 200"));
     }
     let began = Instant::now();
     for stream in &mut silent {
@@ -348,7 +191,7 @@
     });
     let front = front(&config(&[noisy], change_log(Vec::new()).0));
     for i in 0..3 {
-        let answer = front.asks(&format!("{:016x}", 0x70 + i));
+        let answer = asks(&front, &format!("{:016x}", 0x70 + i));
         assert!(
             answer.head.starts_with("RTSP/1.0 500"),
             "it may have run, and the class is paid: {answer:?}"
@@ -385,7 +228,7 @@
     let mut n = 0u64;
     loop {
         n += 1;
-        assert!(front.asks(&format!("{n:016x}")).head.starts_with("RTSP/1.0 200"));
+        assert!(asks(&front, &format!("{n:016x}")).head.starts_with("RTSP/1.0 200"));
         if _told_too.try_iter().any(|m| m.head.starts_with("SETUP")) {
             return;
         }
@@ -404,7 +247,7 @@
     wait(&front.lines, "stopping");
     viewer.write_all(&set_up("00000000000000b2")).expect("writes");
     assert!(read(&mut viewer).expect("an answer").head.starts_with("RTSP/1.0 200"));
-    assert!(front.asks("00000000000000b3").head.starts_with("RTSP/1.0 200"));
+    assert!(asks(&front, "00000000000000b3").head.starts_with("RTSP/1.0 200"));
     let status = front.child.wait().expect("ends");
     assert_eq!(status.code(), Some(0));
 }
@@ -470,7 +313,7 @@
     let (node, _told) = scripted(answer);
     let (log, _asked) = change_log(Vec::new());
     let front = front(&config(&[node], log));
-    assert!(front.asks("00000000000000c1").head.starts_with("RTSP/1.0 200"));
+    assert!(asks(&front, "00000000000000c1").head.starts_with("RTSP/1.0 200"));
     let proc = format!("/proc/{}", front.child.id());
     let threads: Vec<_> = std::fs::read_dir(format!("{proc}/task")).expect("tasks").flatten().collect();
     for thread in &threads {
@@ -495,23 +338,6 @@
     assert!(held("unix", 6).iter().all(|r| r.len() == 7), "a Unix socket with a name");
 }
 
-/// One frame of the change log: one record of a node, by the protocol's layout.
-fn changed(number: u64, id: u32, state: u8, address: SocketAddr) -> Vec<u8> {
-    let SocketAddr::V4(v4) = address else { panic!("IPv4") };
-    let mut record = id.to_be_bytes().to_vec();
-    record.extend(v4.ip().octets());
-    record.extend(v4.port().to_be_bytes());
-    record.extend([state, 0, 0]);
-    record.extend(0u16.to_be_bytes());
-    record.extend(1_000u32.to_be_bytes());
-    record.extend(0u64.to_be_bytes());
-    let mut frame = ((9 + record.len()) as u32).to_be_bytes().to_vec();
-    frame.extend(number.to_be_bytes());
-    frame.push(2);
-    frame.extend(record);
-    frame
-}
-
 /// The change log breaks off within an event, tells others twice, then falls silent with the connection open; the front
 /// asks again from the last whole event each time, and ends up with the list as it is.
 #[test]
@@ -552,7 +378,7 @@
     // The node that came last serves, and the one that is gone does not: no other holds the title.
     let until = Instant::now() + 5 * SECOND;
     let mut n = 0xd0u64;
-    while !front.asks(&format!("{n:016x}")).head.starts_with("RTSP/1.0 200") {
+    while !asks(&front, &format!("{n:016x}")).head.starts_with("RTSP/1.0 200") {
         assert!(Instant::now() < until, "the list's last event did not arrive");
         n += 1;
     }
@@ -585,7 +411,7 @@
         )
     };
     flood.write_all(&ids.iter().flat_map(give_up).collect::<Vec<u8>>()).expect("writes");
-    assert!(front.asks("00000000000000c2").head.starts_with("RTSP/1.0 200"));
+    assert!(asks(&front, "00000000000000c2").head.starts_with("RTSP/1.0 200"));
     // Each set-up that reached the node was taken back there, or its connection was closed.
     let mut heard = 0;
     while heard < ids.len() {
@@ -623,7 +449,7 @@
     });
     for n in 0..20u64 {
         let began = Instant::now();
-        assert!(front.asks(&format!("{:016x}", 0xf00 + n)).head.starts_with("RTSP/1.0 200"));
+        assert!(asks(&front, &format!("{:016x}", 0xf00 + n)).head.starts_with("RTSP/1.0 200"));
         assert!(began.elapsed() < SECOND, "others wait for the one that does not read");
     }
     let end = ended.recv_timeout(20 * SECOND).expect("the writer ends");
@@ -659,8 +485,7 @@
         viewer.set_read_timeout(Some(SECOND / 5)).expect("a time");
         assert!(read(&mut viewer).is_err(), "a second answer");
         assert!(
-            front
-                .asks(&id.replace("a1", "b2").replace("cc", "aa").replace("dd", "bb"))
+            asks(&front, &id.replace("a1", "b2").replace("cc", "aa").replace("dd", "bb"))
                 .head
                 .contains(" 200 ")
         );
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -707,7 +707,8 @@
             self.published.remove(&live.ask.title);
             let watchers = self.live.values().filter(|l| l.ask.title == live.ask.title);
             for p in watchers.filter_map(|l| l.playing.as_ref()) {
-                out.push(Effect::Tell(p.resource.clone(), "inactive", "{}".into()));
+                let why = "{\"reason\":\"unpublished\"}".to_owned();
+                out.push(Effect::Tell(p.resource.clone(), "inactive", why));
             }
         }
         self.tally.ended(outcome);
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -84,6 +84,10 @@
     if let Some(kind) = accept_post {
         set(&mut r, "accept-post", kind);
     }
+    // RFC 5789, 3.1.
+    if allow.contains("PATCH") {
+        set(&mut r, "accept-patch", &format!("{FRAGMENT_TYPE}, {SDP_TYPE}"));
+    }
     r
 }
 
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -175,15 +175,13 @@
         kind: &str,
         body: Bytes,
     ) -> Option<Request<Full<Bytes>>> {
-        Request::builder()
-            .method(method)
-            .uri(path)
-            .header(HOST, node.to_string())
-            .header(VIA, &self.via)
-            .header(CONTENT_TYPE, kind)
-            .header(ACCEPT, "*/*")
-            .body(Full::new(body))
-            .ok()
+        let mut request = Request::builder().method(method).uri(path).header(HOST, node.to_string());
+        request = request.header(VIA, &self.via).header(ACCEPT, "*/*");
+        // What has no body has no type.
+        if !body.is_empty() {
+            request = request.header(CONTENT_TYPE, kind);
+        }
+        request.body(Full::new(body)).ok()
     }
 
     fn pooled(&self, node: SocketAddr) -> Option<Idle> {
--- a/crates/playout/src/face.rs
+++ b/crates/playout/src/face.rs
@@ -407,7 +407,8 @@
         }
         Fate::Refuse => 503,
         Fate::Error => {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            let slow = node.borrow().faults.slow_ms;
+            tokio::time::sleep(Duration::from_millis(2 + slow)).await;
             500
         }
         Fate::Half => {
--- a/crates/rehearse/src/wire.rs
+++ b/crates/rehearse/src/wire.rs
@@ -172,6 +172,21 @@
         }
     }
 
+    /// Waits until these words are in what arrives, and returns what follows them on their last line.
+    ///
+    /// # Errors
+    /// When the connection or the time ends first.
+    pub async fn rest_of_line(&mut self, words: &str, until: Instant) -> Result<String, End> {
+        loop {
+            let text = String::from_utf8_lossy(&self.read).into_owned();
+            if let Some((rest, _)) = text.split_once(words).and_then(|(_, r)| r.split_once('\n')) {
+                self.read.clear();
+                return Ok(rest.to_owned());
+            }
+            self.more(until).await?;
+        }
+    }
+
     /// Bytes that nobody asked for, until the time or the connection ends.
     pub async fn listen(&mut self, until: Instant) -> usize {
         while self.read.is_empty() {
