--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -10,7 +10,7 @@
 use std::process::Command;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread::spawn;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 const EXTRAS: &str = "home:0;copies:2;top:4;viewer:00000000000000aa";
 
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -4,7 +4,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -55,6 +55,10 @@
     if let Some(s) = p.retry_after_s() {
         set(&mut r, RETRY_AFTER.as_str(), &s.to_string());
     }
+    // RFC 9110, 11.6.1, of viewers' tokens and of the console's key alike.
+    if p.status == 401 {
+        set(&mut r, WWW_AUTHENTICATE.as_str(), "Bearer");
+    }
     r
 }
 
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, AUTHORIZATION, CONTENT_TYPE, ETAG, IF_MATCH, LINK, LOCATION, WWW_AUTHENTICATE};
+use hyper::header::{ALLOW, AUTHORIZATION, CONTENT_TYPE, ETAG, IF_MATCH, LINK, LOCATION};
 use hyper::{HeaderMap, Method, Request, Response};
 use pepperhook::ViewerKey;
 use pepperhook_settings::{Token, name_hash};
@@ -53,13 +53,7 @@
 async fn answer(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Out> {
     let mut r = match route(shell, request).await {
         Ok(r) => r,
-        Err(p) => {
-            let mut r = problem(&p);
-            if p.status == 401 {
-                set(&mut r, WWW_AUTHENTICATE.as_str(), "Bearer");
-            }
-            r
-        }
+        Err(p) => problem(&p),
     };
     set(&mut r, "access-control-allow-origin", "*");
     set(&mut r, "access-control-expose-headers", "location, etag, link, retry-after");
