--- a/crates/cli/tests/transcripts/script.rs
+++ b/crates/cli/tests/transcripts/script.rs
@@ -68,6 +68,7 @@
     text: String,
     names: Names,
     aside: Vec<(String, String)>,
+    followed: usize,
 }
 
 /// A transcript as it grows; copies write to the same one.
@@ -132,6 +133,15 @@
         aside.iter().for_each(|(_, lines)| inner.text += lines);
     }
 
+    /// The front follows the events of a node.
+    pub fn follows(&self) {
+        self.0.borrow_mut().followed += 1;
+    }
+
+    pub fn followed(&self) -> usize {
+        self.0.borrow().followed
+    }
+
     /// The whole text, once nothing is left over.
     pub fn text(&self) -> String {
         let inner = self.0.borrow();
--- a/crates/cli/tests/transcripts/tap.rs
+++ b/crates/cli/tests/transcripts/tap.rs
@@ -177,6 +177,9 @@
                 self.tell(&open, true, &words);
                 self.open.borrow_mut().push_back(open);
             } else if let Some(open) = self.open.borrow_mut().pop_front() {
+                if open.line.ends_with("/events/stream") {
+                    self.script.follows();
+                }
                 self.tell(&open, false, &words);
             }
         }
