--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -2,6 +2,7 @@
 
 use crate::Exit;
 use clap::Subcommand;
+use pepperhook_rehearse::agreement::plan::{Plan, Trouble, Variation as AgreementVariation};
 use pepperhook_rehearse::conduct::play;
 use pepperhook_rehearse::day::{Day, Shared, bad_day};
 use pepperhook_rehearse::duties::many::many;
@@ -66,6 +67,13 @@
         #[command(flatten)]
         out: Out,
     },
+    /// Changes of what the fleet agrees on, by two operators, with fronts killed, stopped and cut off; see docs/rehearsals.md.
+    Agreement {
+        #[command(flatten)]
+        play: Agreement,
+        #[command(flatten)]
+        out: Out,
+    },
     /// A day file; see docs/rehearsals.md and the folder days/.
     Replay {
         /// The file.
@@ -75,6 +83,96 @@
     },
 }
 
+/// What is agreed on.
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum Part {
+    /// The policy.
+    Policy,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, clap::ValueEnum)]
+pub enum Troubles {
+    /// Nothing.
+    None,
+    /// One front is dead.
+    Dead,
+    /// One front stands still for 10 s again and again.
+    Stopped,
+    /// A third of the fronts is cut off from the others for 10 s again and again.
+    Zone,
+    /// Kills, stops, cuts, and restarts with the store, without it or with an older one.
+    Random,
+}
+
+/// A rehearsal of changes.
+#[derive(clap::Args)]
+pub struct Agreement {
+    /// What is agreed on.
+    #[arg(long, value_enum, default_value = "policy")]
+    part: Part,
+    /// Seed of the viewers, the changes and what goes wrong.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Front processes, 3 to 12; five of them vote, three where there are fewer.
+    #[arg(long, default_value_t = 9)]
+    fronts: u32,
+    /// Part of the datagrams between fronts that is lost, 0 to 0.6.
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Viewers come for so many seconds, 15 to 300.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+    /// Changes, 2 to 200.
+    #[arg(long, default_value_t = 30)]
+    changes: u32,
+    /// A grant's time, milliseconds, 3500 to 60000.
+    #[arg(long, default_value_t = 4_000)]
+    hold_ms: u64,
+    /// What goes wrong.
+    #[arg(long, value_enum, default_value = "random")]
+    trouble: Troubles,
+    /// Play this plan, as a run with --keep leaves it; the figures above are not used then.
+    #[arg(long)]
+    plan: Option<PathBuf>,
+}
+
+impl Agreement {
+    /// The plan, and the command that plays it again.
+    fn plan(&self) -> Result<(Plan, String), String> {
+        let Part::Policy = self.part;
+        if let Some(path) = &self.plan {
+            let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+            let plan = Plan::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+            return Ok((plan, format!("pepperhook rehearse agreement --plan {}", path.display())));
+        }
+        let within = (3..=12).contains(&self.fronts)
+            && (0.0..=0.6).contains(&self.loss)
+            && (15.0..=300.0).contains(&self.seconds)
+            && (2..=200).contains(&self.changes)
+            && (3_500..=60_000).contains(&self.hold_ms);
+        if !within {
+            return Err("--fronts 3 to 12, --loss 0 to 0.6, --seconds 15 to 300, --changes 2 to 200, --hold-ms 3500 \
+                        to 60000"
+                .into());
+        }
+        let (trouble, name) = match self.trouble {
+            Troubles::None => (Trouble::None, "none"),
+            Troubles::Dead => (Trouble::Dead, "dead"),
+            Troubles::Stopped => (Trouble::Stopped, "stopped"),
+            Troubles::Zone => (Trouble::Zone, "zone"),
+            Troubles::Random => (Trouble::Random, "random"),
+        };
+        let Self { seed, fronts, loss, seconds, changes, hold_ms, .. } = *self;
+        let again = format!(
+            "pepperhook rehearse agreement --seed {seed} --fronts {fronts} --loss {loss} --seconds {seconds} \
+             --changes {changes} --hold-ms {hold_ms} --trouble {name}"
+        );
+        let v = AgreementVariation { seed, fronts, loss, seconds, changes, hold_ms, trouble };
+        Ok((Plan::random(&v), again))
+    }
+}
+
 /// What fronts do together on a day.
 #[derive(Clone, Copy, clap::ValueEnum)]
 pub enum SharedDuties {
@@ -152,6 +250,15 @@
             )
             .await;
         }
+        What::Agreement { play, out } => {
+            return match play.plan() {
+                Ok((plan, again)) => rehearse_agreement(plan, &again, &out).await,
+                Err(e) => {
+                    eprintln!("pepperhook: {e}");
+                    Exit::Usage
+                }
+            };
+        }
         What::Replay { day, out } => {
             let text = std::fs::read_to_string(&day).map_err(|e| e.to_string());
             (text.and_then(|t| Day::parse(&t)).map_err(|e| format!("{}: {e}", day.display())), out)
@@ -240,6 +347,31 @@
     }
 }
 
+async fn rehearse_agreement(plan: Plan, again: &str, out: &Out) -> Exit {
+    let (_temporary, dir, program) = match stage(out) {
+        Ok(stage) => stage,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            return Exit::Usage;
+        }
+    };
+    let exit = match pepperhook_rehearse::agreement::run::play(plan, &program, &dir, tell(out.quiet)).await {
+        Ok(report) => {
+            let exit = finish(&report, out, report.kept());
+            println!("{}", report.verdict());
+            exit
+        }
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            Exit::Failed
+        }
+    };
+    if exit == Exit::Failed {
+        eprintln!("pepperhook: to play it again: {again}");
+    }
+    exit
+}
+
 async fn rehearse_peak(v: &Variation, out: &Out) -> Exit {
     let (_temporary, dir, program) = match stage(out) {
         Ok(stage) => stage,
--- a/crates/playout/src/record.rs
+++ b/crates/playout/src/record.rs
@@ -47,6 +47,8 @@
     Asked { request: u64, session: String, origin: String, title: String, class: String, front: String },
     /// An answer was read from the socket.
     Reply { request: u64, status: u16, retry_after: Option<u64> },
+    /// What the answer told of the agreed policy: the entry by which it was decided, and of a problem its type's last word.
+    Under { request: u64, entry: Option<u64>, kind: String },
     /// Bytes came after the answer, which nobody had asked for.
     Extra { request: u64, bytes: usize },
     /// The connection ended without an answer.
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -8,8 +8,10 @@
 //! - [`checker`]: the rules. It shares no code with the front; what it knows is in the record.
 //! - [`peak`]: an announced peak, with and without the announcement.
 //! - [`duties`]: shared duties, by fronts in one process or as processes.
+//! - [`agreement`]: changes of the policy that the fleet agrees on, under faults between processes.
 //! - [`report`]: figures of a run.
 
+pub mod agreement;
 pub mod checker;
 pub mod conduct;
 pub mod day;
--- a/crates/rehearse/src/viewers.rs
+++ b/crates/rehearse/src/viewers.rs
@@ -188,6 +188,7 @@
                 *self.statuses.borrow_mut().entry(r.status).or_default() += 1;
                 let retry_after = r.header("retry-after").and_then(|v| v.parse().ok());
                 self.recorder.write(What::Reply { request, status: r.status, retry_after });
+                self.under(request, r);
             }
             Err(End::Time) => self.recorder.write(What::GaveUp { request }),
             Err(_) => self.recorder.write(What::Broke { request }),
@@ -195,6 +196,17 @@
         reply
     }
 
+    /// Writes down what an answer tells of the agreed policy; nothing where fronts agree on none.
+    fn under(&self, request: u64, reply: &Reply) {
+        let problem: serde_json::Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        let entry = reply.header("pepperhook-policy").and_then(|v| v.parse().ok());
+        let entry = entry.or_else(|| problem["policy"].as_u64());
+        let kind = problem["type"].as_str().unwrap_or("").rsplit([':', '/']).next().unwrap_or("").to_owned();
+        if entry.is_some() || kind == "fenced" {
+            self.recorder.write(What::Under { request, entry, kind });
+        }
+    }
+
     fn extra(&self, request: u64, bytes: usize) {
         if bytes > 0 {
             self.recorder.write(What::Extra { request, bytes });
