--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -152,9 +152,11 @@
             && (2..=200).contains(&self.changes)
             && (3_500..=60_000).contains(&self.hold_ms);
         if !within {
-            return Err("--fronts 3 to 12, --loss 0 to 0.6, --seconds 15 to 300, --changes 2 to 200, --hold-ms 3500 \
+            return Err(
+                "--fronts 3 to 12, --loss 0 to 0.6, --seconds 15 to 300, --changes 2 to 200, --hold-ms 3500 \
                         to 60000"
-                .into());
+                    .into(),
+            );
         }
         let (trouble, name) = match self.trouble {
             Troubles::None => (Trouble::None, "none"),
--- a/crates/rehearse/src/agreement/figures.rs
+++ b/crates/rehearse/src/agreement/figures.rs
@@ -69,7 +69,8 @@
 /// Sums evidence up.
 #[must_use]
 pub fn figures(e: &Evidence, impaired: &[Impaired], aim_s: f64) -> Figures {
-    let mut f = Figures { settled_ms: e.settled_ms, late_conflicts: late_conflicts(e) as u64, ..Figures::default() };
+    let mut f =
+        Figures { settled_ms: e.settled_ms, late_conflicts: late_conflicts(e) as u64, ..Figures::default() };
     let within = |p: &Impaired, from: u64, to: u64| p.from <= to && from <= p.to.saturating_add(HOLDS_AGAIN);
     let faulty = |from: u64, to: u64| impaired.iter().any(|p| within(p, from, to));
 
--- a/crates/rehearse/src/checker/tests.rs
+++ b/crates/rehearse/src/checker/tests.rs
@@ -155,3 +155,14 @@
     let loose = Terms { budget: Some((1.0, 0.2, 10.0)), ..terms() };
     assert!(broken(&clean(), &loose).is_empty());
 }
+
+#[test]
+fn patience_is_not_counted_while_a_front_stands_still() {
+    let gave_up = |ms| line(ms, "viewers", What::GaveUp { request: 1 });
+    let still = |ms| line(ms, "conductor", What::FrontStall { front: "f".into(), ms: 3_000 });
+    assert!(judge(&[asked(0, 1), still(1_000), gave_up(4_001)], &terms()).is_empty());
+    // It stood still before the viewer came, or another did.
+    assert_eq!(judge(&[still(0), asked(3_500, 1), gave_up(7_501)], &terms()).len(), 1);
+    let other = line(1_000, "conductor", What::FrontStall { front: "g".into(), ms: 3_000 });
+    assert_eq!(judge(&[asked(0, 1), other, gave_up(4_001)], &terms()).len(), 1);
+}
