--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -70,7 +70,7 @@
     /// Changes of what the fleet agrees on, by two operators, with fronts killed, stopped and cut off; see docs/rehearsals.md.
     Agreement {
         #[command(flatten)]
-        play: Agreement,
+        play: Changes,
         #[command(flatten)]
         out: Out,
     },
@@ -107,7 +107,7 @@
 
 /// A rehearsal of changes.
 #[derive(clap::Args)]
-pub struct Agreement {
+pub struct Changes {
     /// What is agreed on.
     #[arg(long, value_enum, default_value = "policy")]
     part: Part,
@@ -137,7 +137,7 @@
     plan: Option<PathBuf>,
 }
 
-impl Agreement {
+impl Changes {
     /// The plan, and the command that plays it again.
     fn plan(&self) -> Result<(Plan, String), String> {
         let Part::Policy = self.part;
--- a/crates/rehearse/src/agreement/judge.rs
+++ b/crates/rehearse/src/agreement/judge.rs
@@ -58,6 +58,8 @@
     pub ends: Vec<(String, u64, bool)>,
     /// All went by the same this long after the last fault, milliseconds; `None` where they never did in time.
     pub settled_ms: Option<u64>,
+    /// What consoles showed then instead.
+    pub why: Option<String>,
     /// The calls that were made after all faults were over.
     pub last: Vec<u64>,
 }
@@ -358,7 +360,10 @@
 /// A change is on all or on none in its time after the last fault.
 fn everywhere(chain: &Chain, e: &Evidence, out: &mut Vec<String>) {
     if e.settled_ms.is_none() {
-        out.push(format!("after the last fault the fronts did not come to one policy in time: {:?}", e.ends));
+        out.push(format!(
+            "after the last fault the fronts did not come to one policy in time: {}",
+            e.why.as_deref().unwrap_or("")
+        ));
     }
     let entries: BTreeSet<u64> = e.ends.iter().map(|e| e.1).collect();
     if entries.len() != 1 {
