--- a/crates/platform/src/core/tests/lists.rs
+++ b/crates/platform/src/core/tests/lists.rs
@@ -27,7 +27,6 @@
 #[test]
 fn a_dial_under_way_to_a_node_that_leaves_the_list_is_taken_back() {
     let mut w = World::new(&[node(1, State::Ready)]);
-    w.core.probing = true;
     let (old, _) = w.standing(1);
     let (late, _) = dialled(&w.pass(6 * S)).expect("a quiet node is dialled");
     let new = started(&w, Entry { id: 4, ..node(1, State::Ready) });
@@ -86,6 +85,7 @@
 #[test]
 fn an_old_connection_that_stays_open_and_quiet_ends_with_its_sessions_whatever_the_newcomer_says() {
     let mut w = World::new(&[node(1, State::Ready)]);
+    w.core.probing = true;
     let (old, _) = w.standing(1);
     w.pass(S);
     let new = started(&w, Entry { id: 4, ..node(1, State::Ready) });
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -178,9 +178,7 @@
         // Rates that are told otherwise are no change of demand: readings since then stand.
         self.servers.values_mut().for_each(|s| s.own_kb = own_kb(&self.set, s, &self.sessions));
         let sessions: Vec<SessionId> = self.sessions.keys().copied().collect();
-        for id in sessions {
-            self.fit(now, id, out);
-        }
+        sessions.into_iter().for_each(|id| _ = self.fit(now, id, out));
         servers.into_iter().for_each(|id| self.resum(now, id));
         Ok(())
     }
@@ -302,7 +300,7 @@
     fn uplink_use(&self, now: Time, rack: u32) -> f64 {
         let (state, uplink) = (&self.racks[rack as usize], self.set.uplink_kb);
         if !self.set.gauges.contains(&Gauge::Uplink) {
-            // Where no link is seen the guess is an uplink's: links' guesses summed could refuse all for ever.
+            // Where no link is seen the guess is an uplink's: links' guesses summed may refuse all for ever.
             let fresh = |s: &Server| self.seen(now, s).is_some_and(|r| r.at.saturating_add(WINDOW) > now);
             let most = if self.in_rack(rack).any(fresh) { f64::INFINITY } else { self.usual.1 };
             return (self.rack_kb(now, rack) / uplink).min(most.max(self.own_rack_kb(rack) / uplink));
