Read again: one call of the governor, one way onto a lane, relays' queue without an order of its own

Five calls of the governor each made the bounds and carried effects out: one function does. Three places of the fleet's part sent on a lane of the exchange with the same three lines: one function does. The relays' queue of datagrams carried a hand-written order for a heap; a map by time and number needs none, and draws the same.

--- a/crates/faults/src/datagrams.rs
+++ b/crates/faults/src/datagrams.rs
@@ -5,8 +5,7 @@
 use crate::schedule::Kind;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 
 /// Datagrams under way on one way at most, and their bytes; more are thrown away, as a full queue would.
 pub const MOST: usize = 4_096;
@@ -32,29 +31,11 @@
     pub overflowed: u64,
 }
 
-/// A datagram under way; equal times come out in the order of their numbers.
-struct Due(u64, u64, Vec<u8>);
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// One way of a link.
 pub struct Datagrams {
     rng: StdRng,
-    queue: BinaryHeap<Reverse<Due>>,
+    /// What is under way, by when it comes out; equal times come out in the order of their numbers.
+    queue: BTreeMap<(u64, u64), Vec<u8>>,
     bytes: usize,
     number: u64,
     /// When the last one comes out that was not held back: a delay alone changes no order.
@@ -68,7 +49,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
-            queue: BinaryHeap::new(),
+            queue: BTreeMap::new(),
             bytes: 0,
             number: 0,
             last_us: 0,
@@ -129,7 +110,7 @@
         }
         self.bytes += datagram.len();
         self.number += 1;
-        self.queue.push(Reverse(Due(at_us, self.number, datagram)));
+        self.queue.insert((at_us, self.number), datagram);
         true
     }
 
@@ -138,8 +119,8 @@
         if windows.held_until(now_us, |k| k == Kind::Stall).is_some() {
             return None;
         }
-        while self.queue.peek().is_some_and(|Reverse(d)| d.0 <= now_us) {
-            let Reverse(Due(_, _, datagram)) = self.queue.pop()?;
+        while let Some(first) = self.queue.first_entry().filter(|e| e.key().0 <= now_us) {
+            let datagram = first.remove();
             self.bytes -= datagram.len();
             if windows.is_cut(now_us) {
                 self.counters.cut += 1;
@@ -154,7 +135,7 @@
     /// When the next one comes out, if nothing else changes.
     #[must_use]
     pub fn next(&self, windows: &Windows) -> Option<u64> {
-        let Reverse(Due(at_us, ..)) = self.queue.peek()?;
+        let ((at_us, _), _) = self.queue.first_key_value()?;
         Some(windows.held_until(*at_us, |k| k == Kind::Stall).unwrap_or(*at_us))
     }
 }
--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -3,7 +3,7 @@
 //! taken under what stood before.
 
 use pepperhook_agreement::node::{self, Node};
-use pepperhook_agreement::{Command, Entry, Kept, Key, Outcome, Subject, VoterId, What};
+use pepperhook_agreement::{Command, Entry, Kept, Key, Outcome, Registers, Subject, VoterId, What};
 use pepperhook_policy::{Around, Ask, Effect, Fits, Governor, Pace, Policy};
 use serde::Serialize;
 use std::collections::VecDeque;
@@ -225,11 +225,8 @@
             self.governed_ms = now_ms;
             let agreed = self.node.knows() && !self.node.forked();
             let around = Around { agreed, leads: self.node.leads() };
-            let mut effects = Vec::new();
-            let fits = Bounded(&*self.means, self.hold_ms);
-            self.governor.tick(now_ms, around, &fits, &mut effects);
-            let entry = self.node.registers().get(POLICY).map_or(0, |r| r.number);
-            self.carry_out(now_ms, entry, effects, out);
+            let entry = self.register();
+            self.govern(now_ms, entry, out, |g, _, fits, effects| g.tick(now_ms, around, fits, effects));
         }
         self.vouch();
     }
@@ -251,11 +248,8 @@
     }
 
     pub fn ask(&mut self, now_ms: u64, ask: Ask, out: &mut Vec<Said>) {
-        let mut effects = Vec::new();
-        let fits = Bounded(&*self.means, self.hold_ms);
-        self.governor.ask(now_ms, ask, &fits, &mut effects);
-        let entry = self.node.registers().get(POLICY).map_or(0, |r| r.number);
-        self.carry_out(now_ms, entry, effects, out);
+        let entry = self.register();
+        self.govern(now_ms, entry, out, |g, _, fits, effects| g.ask(now_ms, ask, fits, effects));
     }
 
     /// Asks for one voter more or less, or one in place of another.
@@ -307,9 +301,7 @@
                 From::Applied { entry, outcome } => self.applied(now_ms, &entry, outcome, out),
                 From::Replaced => self.replaced(now_ms, out),
                 From::Settled(number) => {
-                    let mut effects = Vec::new();
-                    self.governor.settled(now_ms, number, &mut effects);
-                    self.carry_out(now_ms, number, effects, out);
+                    self.govern(now_ms, number, out, |g, _, _, effects| g.settled(now_ms, number, effects));
                 }
                 From::Held(held) => out.push(Said::Note(AgreedNote::Held(held))),
                 // The governor looks at the register, and proposes again where it did not move.
@@ -322,18 +314,33 @@
     }
 
     fn applied(&mut self, now_ms: u64, entry: &Entry, outcome: Outcome, out: &mut Vec<Said>) {
-        let mut effects = Vec::new();
-        let fits = Bounded(&*self.means, self.hold_ms);
-        self.governor.applied(now_ms, entry, &outcome, &fits, &mut effects);
-        self.carry_out(now_ms, entry.number, effects, out);
+        self.govern(now_ms, entry.number, out, |g, _, fits, effects| {
+            g.applied(now_ms, entry, &outcome, fits, effects);
+        });
     }
 
     fn replaced(&mut self, now_ms: u64, out: &mut Vec<Said>) {
         let registers = self.node.registers();
         let entry = registers.get(POLICY).map_or(registers.number(), |r| r.number);
+        self.govern(now_ms, entry, out, |g, state, fits, effects| g.replaced(now_ms, state, fits, effects));
+    }
+
+    /// The entry that wrote the policy's register, 0 for none.
+    fn register(&self) -> u64 {
+        self.node.registers().get(POLICY).map_or(0, |r| r.number)
+    }
+
+    /// Calls the governor and carries out what it wants; a policy that it puts into force does so by this entry.
+    fn govern(
+        &mut self,
+        now_ms: u64,
+        entry: u64,
+        out: &mut Vec<Said>,
+        call: impl FnOnce(&mut Governor, &Registers, &dyn Fits, &mut Vec<Effect>),
+    ) {
         let mut effects = Vec::new();
         let fits = Bounded(&*self.means, self.hold_ms);
-        self.governor.replaced(now_ms, registers, &fits, &mut effects);
+        call(&mut self.governor, self.node.registers(), &fits, &mut effects);
         self.carry_out(now_ms, entry, effects, out);
     }
 
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -461,6 +461,13 @@
         }
     }
 
+    /// Sends a message on a lane of the exchange.
+    fn carry(&mut self, now_ms: u64, to: SocketAddr, lane: u8, content: &[u8], out: &mut Vec<Out>) {
+        let mut sent = Vec::new();
+        self.exchange.carry(to, lane, content, &mut sent);
+        self.exchanged(now_ms, sent, out);
+    }
+
     fn copied(&mut self, said: Vec<pepperhook_replica::Out>, out: &mut Vec<Out>) {
         use pepperhook_replica::Out as Said;
         if said.is_empty() {
@@ -472,9 +479,7 @@
                 Said::Send(to, message) => {
                     let content = self.copies.as_ref().and_then(|c| c.content(&message));
                     if let Some((at, content)) = view.get(&to).map(|m| m.address).zip(content) {
-                        let mut sent = Vec::new();
-                        self.exchange.carry(at, COPIES, &content, &mut sent);
-                        self.exchanged(self.last_ms, sent, out);
+                        self.carry(self.last_ms, at, COPIES, &content, out);
                     }
                 }
                 Said::Adopted(_, keys) => out.push(Out::Adopted(keys)),
@@ -497,9 +502,7 @@
             match o {
                 Said::Send(to, message) => {
                     if let Some(at) = view.get(&to).map(|m| m.address) {
-                        let mut sent = Vec::new();
-                        self.exchange.carry(at, AGREEMENT, &message, &mut sent);
-                        self.exchanged(self.last_ms, sent, out);
+                        self.carry(self.last_ms, at, AGREEMENT, &message, out);
                     }
                 }
                 Said::Write(batch, ops) => out.push(Out::Write(batch, ops)),
@@ -518,9 +521,7 @@
                 Said::Send(to, message) => {
                     let mut content = now_ms.to_be_bytes().to_vec();
                     content.extend_from_slice(&message);
-                    let mut sent = Vec::new();
-                    self.exchange.carry(to, MEMBERSHIP, &content, &mut sent);
-                    self.exchanged(now_ms, sent, out);
+                    self.carry(now_ms, to, MEMBERSHIP, &content, out);
                 }
                 Said::Changed(change) => {
                     self.changed = true;
