--- a/crates/cli/tests/agreement.rs
+++ b/crates/cli/tests/agreement.rs
@@ -459,16 +459,7 @@
             ("", "section agreement\nvoter a\n", "they need a section exchange"),
         ] {
             let text = settings(4, "") + before;
-            let line = text.lines().count() + 1;
-            std::fs::write(dir.path().join("bad.conf"), text + bad).expect("written");
-            let out = tokio::process::Command::new(env!("CARGO_BIN_EXE_pepperhook"))
-                .args(["check", "-c", "bad.conf"])
-                .current_dir(dir.path())
-                .output()
-                .await
-                .expect("it ran");
-            let said = String::from_utf8_lossy(&out.stderr).into_owned();
-            assert_eq!(out.status.code(), Some(2), "{bad}: {said}");
+            let (said, line) = turned_down(dir.path(), &text, bad).await;
             let placed = (line..line + 3).any(|l| said.contains(&format!("bad.conf:{l}")));
             assert!(said.contains(told) && placed, "{bad}: {said}");
         }
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -42,6 +42,20 @@
     )
 }
 
+/// What `check` says of settings that end in `bad`, and the line on which that begins. It must turn them down.
+pub async fn turned_down(dir: &Path, before: &str, bad: &str) -> (String, usize) {
+    std::fs::write(dir.join("bad.conf"), format!("{before}{bad}")).expect("written");
+    let out = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
+        .args(["check", "-c", "bad.conf"])
+        .current_dir(dir)
+        .output()
+        .await
+        .expect("it ran");
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2), "{bad}: {said}");
+    (said, before.lines().count() + 1)
+}
+
 /// A list of nodes as the fronts read it.
 pub fn list(stands: &[(String, SocketAddr)], started_ms: u64) -> String {
     let mut list = "name,address,zone,cell,kind,weight,state,started\n".to_owned();
--- a/crates/cli/tests/replica.rs
+++ b/crates/cli/tests/replica.rs
@@ -233,17 +233,7 @@
         ] {
             let mut text = settings(4, &format!("fronts {FRONTS}"));
             text += "section exchange\nlisten 127.0.0.1:0\nkey secret\npeer 127.0.0.1:9\n";
-            let line = text.lines().count() + 1;
-            text += bad;
-            std::fs::write(dir.path().join("bad.conf"), text).expect("written");
-            let out = tokio::process::Command::new(env!("CARGO_BIN_EXE_pepperhook"))
-                .args(["check", "-c", "bad.conf"])
-                .current_dir(dir.path())
-                .output()
-                .await
-                .expect("it ran");
-            let said = String::from_utf8_lossy(&out.stderr) + String::from_utf8_lossy(&out.stdout);
-            assert_eq!(out.status.code(), Some(2), "{bad}: {said}");
+            let (said, line) = turned_down(dir.path(), &text, bad).await;
             assert!(said.contains(told), "{bad}: {said}");
             assert!(
                 said.contains(&format!("bad.conf:{line}"))
