Platform: a viewer is looked for on its socket before the first byte of a set-up

Cause: what the runtime knows of a connection is as old as its last wait, and within one wake a node's refusal, a timer or a dial that came up was taken before the end of the viewer's connection that lay beside it; the next attempt was written at once (core/attempts.rs write_set_up, shell.rs timers and link). A pause of the process makes that any time after the client left. Messages were taken before the end behind them was read (peer.rs pump), so that set-ups were begun for who had closed already. Requests open on a connection that ended were withdrawn without an answer (core/requests.rs gone), also where the other side had shut one half alone and went on reading, or where another request's repeated id closed it.

Ruled out: without idle connections up to the other nodes the dial lets the close through first, which is why usual plays do not show it.

Change: the core offers a set-up (Effect::Look), the shell reads the viewer's socket itself and says Waits, Blocked (the node's connection takes no bytes, so it would be sent later: unsent, proven), or nothing. All that is there is read before the first message is taken; an end found with it comes first: what lies before it is refused, give-ups, ends and hand-overs are heard. A half-close means that the client has left; whoever reads on gets a whole answer to each request. Inputs of a wake go before its timers.

Checks: the checker now owes each request of an ended connection one whole answer and forbids a set-up or a 200 for it; before, such requests were taken off its books.

--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -26,6 +26,8 @@
 pub enum Stage {
     /// Its connection is not up yet: nothing was sent. So many dials were made for it.
     Dialling(u8),
+    /// Its connection is up; whether its viewer still waits is being looked at. Nothing was sent.
+    Offered,
     /// Sent.
     Sent,
     /// Given up; the node is heard out.
@@ -74,7 +76,8 @@
         self.write_set_up(now, id, out);
     }
 
-    /// Writes a set-up once its connection is up. The node is looked at again, since dialling takes time.
+    /// Offers a set-up once its connection is up: its viewer may have left since it was decided, and nothing of that may
+    /// have been read yet.
     pub(super) fn write_set_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
         let Some(Attempt { life, link, until, stage: Stage::Dialling(_), .. }) = self.attempt(id) else {
             return;
@@ -87,6 +90,23 @@
             return self.attempt_ended(id, Outcome::Unsent, Vec::new());
         }
         let Some(s) = self.sessions.get_mut(&id) else { return };
+        let conn = s.conn;
+        if let Phase::Open(Some(attempt)) = &mut s.phase {
+            attempt.stage = Stage::Offered;
+        }
+        out.push(Effect::Look(conn, link, id));
+    }
+
+    /// Writes a set-up whose viewer waits. The node is looked at again, since dialling takes time.
+    pub(super) fn send_set_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(Attempt { life, link, until, stage: Stage::Offered, .. }) = self.attempt(id) else {
+            return;
+        };
+        let (life, link, until) = (*life, *link, *until);
+        if !self.is_ready(life) || until <= now || !self.links.get(&link).is_some_and(Link::up) {
+            return self.attempt_ended(id, Outcome::Unsent, Vec::new());
+        }
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         let word = ToNode::SetUp {
             id,
             title: s.ask.wish.title.0,
@@ -104,6 +124,13 @@
         self.write(now, link, word, out);
     }
 
+    /// Its connection takes no bytes now: nothing was sent, nor will be.
+    pub(super) fn blocked(&mut self, id: SessionId) {
+        if self.attempt(id).is_some_and(|a| a.stage == Stage::Offered) {
+            self.attempt_ended(id, Outcome::Unsent, Vec::new());
+        }
+    }
+
     /// Takes the attempt off its request and tells the module how it ended.
     pub(super) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome, report: Vec<f64>) {
         let Some(attempt) = self.take_attempt(id) else { return };
@@ -137,6 +164,7 @@
         let (link, life, stage) = (attempt.link, attempt.life, attempt.stage);
         match stage {
             Stage::Dialling(_) => self.attempt_ended(id, Outcome::ConnectFailed, Vec::new()),
+            Stage::Offered => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
             Stage::Torn => self.attempt_ended(id, Outcome::LinkBroken, Vec::new()),
             Stage::Closing => {}
             Stage::Sent => {
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -308,6 +308,7 @@
                         attempt.stage = Stage::Torn;
                     }
                 }
+                Some(Stage::Offered) => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
                 // The close gives it up at the node.
                 Some(Stage::Closing) => self.attempt_ended(id, Outcome::TimedOut, Vec::new()),
                 _ => {}
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -13,7 +13,7 @@
 //! A node that the list names no more is not dialled, since its address may be another's: it is asked on the connections
 //! that are still up, and if nothing comes, its sessions are over.
 
-use super::attempts::Stage;
+use super::attempts::{Attempt, Stage};
 use super::links::Way;
 use super::standing::CUT;
 use super::*;
@@ -259,7 +259,8 @@
     fn end_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
         let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
         for id in open {
-            let sent = self.attempt(id).is_some_and(|a| !matches!(a.stage, Stage::Dialling(_)));
+            let unsent = |a: &Attempt| matches!(a.stage, Stage::Dialling(_) | Stage::Offered);
+            let sent = self.attempt(id).is_some_and(|a| !unsent(a));
             self.attempt_ended(id, if sent { Outcome::Broken } else { Outcome::ConnectFailed }, Vec::new());
         }
         self.close_link(link, out);
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -119,6 +119,8 @@
     peer: IpAddr,
     /// It has carried a message that could be used.
     good: bool,
+    /// Its viewer has closed its side: nothing is begun for it any more.
+    left: bool,
     open: BTreeSet<SessionId>,
     /// Standing sessions that came on it.
     carries: usize,
@@ -204,12 +206,15 @@
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::Opened(conn, peer) => {
-                let new = Conn { peer, good: false, open: BTreeSet::new(), carries: 0 };
+                let new = Conn { peer, good: false, left: false, open: BTreeSet::new(), carries: 0 };
                 self.conns.insert(conn, new);
             }
             Input::Ask(conn, ask) => self.ask(now, conn, ask, out),
             Input::End(conn, id) => self.end(now, conn, id, out),
+            Input::Left(conn) => self.left(now, conn, out),
             Input::Gone(conn) => self.gone(now, conn, out),
+            Input::Waits(id) => self.send_set_up(now, id, out),
+            Input::Blocked(id) => self.blocked(id),
             Input::Crowded => self.crowded(out),
             Input::LinkUp(link) => self.link_up(now, link, out),
             Input::LinkFailed(link, how) => self.link_failed(now, link, how, out),
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -7,7 +7,10 @@
 impl Core {
     pub(super) fn ask(&mut self, now: Time, conn: ConnId, ask: Ask, out: &mut Vec<Effect>) {
         let id = ask.id;
-        let Some(from) = self.conns.get(&conn) else { return };
+        let Some(from) = self.conns.get(&conn) else {
+            // It was closed from here while the request was on its way: nothing was sent for it.
+            return out.push(Effect::Tell(conn, ToViewer::Refused(id, None)));
+        };
         let peer = from.peer;
         if ask.at.is_none() && (self.sessions.contains_key(&id) || self.ended.contains_key(&id)) {
             return self.conflict(now, conn, id, out);
@@ -16,6 +19,7 @@
             return self.under_way(now, conn, peer, ask, server, out);
         }
         let full = self.closing
+            || from.left
             || self.open >= self.bounds.open
             || from.open.len() >= self.bounds.open_each
             || self.sessions.len() >= self.bounds.sessions;
@@ -44,6 +48,8 @@
             self.withdraw(now, id, out);
         }
         out.push(Effect::Tell(conn, ToViewer::Conflict(id)));
+        // The others on it are answered before it ends.
+        self.left(now, conn, out);
         out.push(Effect::Hang(conn));
     }
 
@@ -122,14 +128,26 @@
         out.push(Effect::Tell(conn, if heard { ToViewer::Heard(id) } else { ToViewer::Unknown(id) }));
     }
 
-    /// A connection owns its open requests, never standing sessions.
-    pub(super) fn gone(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
-        let Some(gone) = self.conns.remove(&conn) else { return };
-        for id in gone.open {
+    /// The viewer has closed its side. One that has closed all of it and one that still reads look alike from here; the
+    /// protocol knows no half of a connection, so that both have left and nothing is begun for them any more. Each open
+    /// request gets its answer all the same: whoever reads on hears the end of it, nobody else is harmed.
+    pub(super) fn left(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.left = true;
+        for id in std::mem::take(&mut c.open) {
+            let sent = self.sessions.get(&id).is_some_and(|s| s.attempts > 0);
+            let word = if sent { ToViewer::Failed(id) } else { ToViewer::Refused(id, None) };
             self.withdraw(now, id, out);
+            out.push(Effect::Tell(conn, word));
         }
     }
 
+    /// A connection owns its open requests, never standing sessions.
+    pub(super) fn gone(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
+        self.left(now, conn, out);
+        self.conns.remove(&conn);
+    }
+
     /// A connection that carried a usable message may be told what waits for its viewer's side.
     pub(super) fn became_good(&mut self, now: Time, conn: ConnId, out: &mut Vec<Effect>) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
--- a/crates/platform/src/core/standing.rs
+++ b/crates/platform/src/core/standing.rs
@@ -270,8 +270,9 @@
     }
 
     fn way_to(&self, conn: ConnId, peer: IpAddr) -> Option<ConnId> {
-        let other = || self.conns.iter().rev().find(|(_, c)| c.good && c.peer == peer).map(|(id, _)| *id);
-        if self.conns.contains_key(&conn) { Some(conn) } else { other() }
+        let other =
+            || self.conns.iter().rev().find(|(_, c)| c.good && !c.left && c.peer == peer).map(|(id, _)| *id);
+        if self.conns.get(&conn).is_some_and(|c| !c.left) { Some(conn) } else { other() }
     }
 
     pub(super) fn sweep_untold(&mut self, now: Time, out: &mut Vec<Effect>) {
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -5,6 +5,7 @@
 mod customers;
 mod handed;
 mod histories;
+mod leaving;
 mod lists;
 mod watch;
 
@@ -61,6 +62,8 @@
     core: Core,
     now: Time,
     out: Vec<Effect>,
+    /// Viewers that are found to have left when they are looked for.
+    leaves: BTreeSet<SessionId>,
 }
 
 impl World {
@@ -72,7 +75,7 @@
         let (own, sockets) = (pepperhook_parameters::decisions(v), pepperhook_parameters::sockets(v));
         let bounds = Bounds::for_descriptors(descriptors);
         let core = Core::new(own.expect("settings"), sockets.expect("settings"), bounds, 7).expect("a core");
-        let mut world = Self { core, now: T0, out: Vec::new() };
+        let mut world = Self { core, now: T0, out: Vec::new(), leaves: BTreeSet::new() };
         world.tell(Input::Nodes(nodes.to_vec()));
         world.tell(Input::Opened(ConnId(1), HERE));
         world
@@ -82,19 +85,35 @@
         Self::new(&[node(1, State::Ready), node(2, State::Ready), node(3, State::Ready)])
     }
 
-    /// One input, and what comes of it.
+    /// One input, and what comes of it. Viewers wait for what they asked for, unless `leaves` names them.
     fn tell(&mut self, input: Input) -> Vec<Effect> {
         let mut out = Vec::new();
         self.core.handle(self.now, input, &mut out);
+        self.look(&mut out, 0);
         self.out.extend(out.iter().cloned());
         out
     }
 
+    /// Answers each look that the core asks for, as the shell does.
+    fn look(&mut self, out: &mut Vec<Effect>, from: usize) {
+        let mut at = from;
+        while at < out.len() {
+            if let Effect::Look(_, _, id) = out[at] {
+                if !self.leaves.contains(&id) {
+                    self.core.handle(self.now, Input::Waits(id), out);
+                }
+            }
+            at += 1;
+        }
+    }
+
     fn pass(&mut self, time: Time) -> Vec<Effect> {
         let (end, mut out) = (self.now + time, Vec::new());
         while let Some(at) = self.core.next_wake().filter(|at| *at <= end) {
             self.now = self.now.max(at);
+            let from = out.len();
             self.core.wake(self.now, &mut out);
+            self.look(&mut out, from);
         }
         self.now = end;
         self.out.extend(out.iter().cloned());
--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -54,6 +54,8 @@
     ready_answer: Option<bytes::Bytes>,
     answered: bool,
     dropped: bool,
+    /// Its viewer's connection has ended: nothing is begun for it, and it still gets its whole answer.
+    left: bool,
 }
 
 #[derive(Default)]
@@ -69,6 +71,8 @@
     pub seen: [usize; 3],
     requests: BTreeMap<SessionId, Request>,
     conns: BTreeSet<u64>,
+    /// Connections that their viewers have closed, or that were closed from here.
+    left: BTreeSet<u64>,
     links: BTreeMap<LinkId, SocketAddr>,
     ready: BTreeSet<SocketAddr>,
     standing: BTreeSet<SessionId>,
@@ -121,7 +125,8 @@
                 let paid = self.paid[usize::from(ask.wish.class.0)];
                 let due = now + ask.wish.patience + SLACK;
                 let (class, title, top) = (usize::from(ask.wish.class.0), ask.wish.title.0, ask.wish.top);
-                let new = Request { class, title, top, paid, due, conn: conn.0, ..Request::default() };
+                let left = self.left.contains(&conn.0);
+                let new = Request { class, title, top, paid, due, conn: conn.0, left, ..Request::default() };
                 self.requests.insert(ask.id, new);
                 self.taken.push(now);
             }
@@ -130,7 +135,9 @@
                 if let Some(r) = self.requests.get_mut(&ask.id).filter(|r| r.conn == conn.0 && !r.answered) {
                     (r.dropped, r.answered) = (true, true);
                 }
+                self.leave(conn.0);
             }
+            Input::Left(conn) => self.leave(conn.0),
             Input::End(_, id) => {
                 self.standing.remove(id);
                 self.seated.remove(id);
@@ -140,8 +147,7 @@
             }
             Input::Gone(conn) => {
                 self.conns.remove(&conn.0);
-                let own = self.requests.values_mut().filter(|r| r.conn == conn.0 && !r.answered);
-                own.for_each(|r| r.dropped = true);
+                self.leave(conn.0);
             }
             Input::LinkDown(link) | Input::LinkShut(link) | Input::LinkFailed(link, _) => {
                 self.links.remove(link);
@@ -152,10 +158,21 @@
                 let ready = |e: &&Entry| e.state == State::Ready;
                 self.ready = entries.iter().filter(ready).map(|e| e.address.into()).collect();
             }
-            Input::Crowded | Input::LinkUp(_) | Input::Closing | Input::Last => {}
+            Input::Crowded
+            | Input::LinkUp(_)
+            | Input::Waits(_)
+            | Input::Blocked(_)
+            | Input::Closing
+            | Input::Last => {}
         }
     }
 
+    /// A connection has ended on its viewer's side.
+    fn leave(&mut self, conn: u64) {
+        self.left.insert(conn);
+        self.requests.values_mut().filter(|r| r.conn == conn).for_each(|r| r.left = true);
+    }
+
     fn said(&mut self, link: LinkId, said: &FromNode) {
         let (FromNode::Plays(id, ..) | FromNode::Ended(id, ..) | FromNode::Over(id, ..)) = said else {
             return;
@@ -186,7 +203,7 @@
                 return Err(format!("{link:?} is shut under an attempt"));
             }
             Effect::Shut(link) => drop(self.shut.insert(*link)),
-            Effect::Hang(_) | Effect::Log(..) => {}
+            Effect::Hang(_) | Effect::Look(..) | Effect::Log(..) => {}
         }
         Ok(())
     }
@@ -210,7 +227,7 @@
                 if r.paid && r.may_have_run {
                     return Err(format!("{id:?} is paid and sent again though it may have run"));
                 }
-                if r.answered || r.dropped || now > r.due {
+                if r.answered || r.dropped || r.left || now > r.due {
                     return Err(format!("{id:?} sent though nobody waits for it"));
                 }
                 (r.out, r.may_have_run) = (Some(link), true);
@@ -257,6 +274,9 @@
             return Err(format!("{id:?} is paid and refused though it may have run"));
         }
         if let Some(body) = plays {
+            if r.left {
+                return Err(format!("{id:?} is served though its viewer has left"));
+            }
             if r.ready_answer.as_ref() != Some(body) {
                 return Err(format!("{id:?} is served with what no node made for it"));
             }
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -126,8 +126,14 @@
     Ask(ConnId, Ask),
     /// A viewer gives a set-up up or ends a session.
     End(ConnId, SessionId),
+    /// A viewer has closed its side of a connection: it has left, whatever it may still read.
+    Left(ConnId),
     /// A viewer's connection is gone.
     Gone(ConnId),
+    /// The viewer of a set-up that is about to be sent was looked for and waits.
+    Waits(SessionId),
+    /// The connection to the node takes no bytes now, so that a set-up would be sent at some later moment.
+    Blocked(SessionId),
     /// There are as many viewers' connections as there may be.
     Crowded,
     /// A connection to a node is up.
@@ -155,6 +161,9 @@
     Tell(ConnId, ToViewer),
     /// Close a viewer's connection, in order.
     Hang(ConnId),
+    /// A set-up is about to be sent over a connection to a node: look whether its viewer still waits, and say so by
+    /// [`Input::Waits`] or [`Input::Blocked`]; where it has left, what shows that is all that follows.
+    Look(ConnId, LinkId, SessionId),
     /// Dial a node.
     Dial(LinkId, SocketAddr),
     /// Tell a node.
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -4,7 +4,8 @@
 use pepperhook_rtsp::{Decoder, Fault, Message};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read};
 use std::net::Shutdown;
 use std::ops::ControlFlow;
 use tokio::net::TcpStream;
@@ -15,6 +16,8 @@
 const QUEUE: usize = 256 * 1024;
 /// Bytes read at a time.
 const PIECE: usize = 8 * 1024;
+/// Bytes read ahead of what was taken, at most.
+const AHEAD: usize = 64 * 1024;
 /// Messages taken before others have their turn.
 const TURN: usize = 16;
 
@@ -44,9 +47,32 @@
     Shut,
 }
 
-/// The writing half, shared with whoever has something to say.
+/// What a connection brings.
+pub enum Word {
+    /// The other side has ended its half, or what came can't be read. Known before the messages that came before it are
+    /// taken, so that nothing is begun for who has left.
+    Ends,
+    /// A message.
+    Message(Message),
+}
+
+/// What was read and is not taken yet.
+#[derive(Default)]
+struct Inbox {
+    decoder: Decoder,
+    messages: VecDeque<Message>,
+    /// Bytes read since it was last empty.
+    bytes: usize,
+    /// Nothing more comes after the messages.
+    end: Option<End>,
+    /// Whoever takes the messages has heard of it.
+    told: bool,
+}
+
+/// One connection, shared by its reader with whoever has something to say on it or wants to know whether it still is.
 pub struct Peer {
     stream: TcpStream,
+    inbox: RefCell<Inbox>,
     queue: RefCell<BytesMut>,
     wake: Notify,
     closing: Cell<bool>,
@@ -68,6 +94,7 @@
     pub fn new(stream: TcpStream) -> Self {
         Self {
             stream,
+            inbox: RefCell::default(),
             queue: RefCell::default(),
             wake: Notify::new(),
             closing: Cell::new(false),
@@ -78,7 +105,7 @@
 
     /// Writes at once what the socket takes, and keeps the rest.
     pub fn send(&self, message: &Message) {
-        if self.closing.get() || self.half.get() != Half::Open {
+        if self.half.get() != Half::Open {
             return;
         }
         let mut bytes = message.encode();
@@ -102,6 +129,11 @@
         !self.queue.borrow().is_empty() && !self.over.get()
     }
 
+    /// Something said now would not leave now.
+    pub fn is_blocked(&self) -> bool {
+        !self.queue.borrow().is_empty()
+    }
+
     /// Ends the connection once what was said is written.
     pub fn close(&self) {
         self.closing.set(true);
@@ -133,15 +165,90 @@
         true
     }
 
+    /// Waits until what was said is written, or cannot be.
+    pub async fn written(&self) {
+        while self.is_writing() && self.stream.writable().await.is_ok() && self.flush() {}
+    }
+
+    /// Reads by `read` until it would block, up to the bound on what is read ahead.
+    fn pull(&self, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) {
+        let mut inbox = self.inbox.borrow_mut();
+        let mut piece = [0u8; PIECE];
+        while inbox.end.is_none() && inbox.bytes < AHEAD {
+            let n = match read(&mut piece) {
+                Ok(0) if self.half.get() == Half::Shut => return inbox.end = Some(End::Shut),
+                Ok(0) => return inbox.end = Some(End::Gone),
+                Ok(n) => n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                Err(_) => return inbox.end = Some(End::Gone),
+            };
+            inbox.bytes += n;
+            inbox.decoder.feed(&piece[..n]);
+            loop {
+                match inbox.decoder.decode() {
+                    Ok(Some(message)) => inbox.messages.push_back(message),
+                    Ok(None) => break,
+                    Err(fault) => return inbox.end = Some(End::Unreadable(fault)),
+                }
+            }
+        }
+    }
+
+    /// Looks at the socket itself, now: whether the other side has ended its half, or has sent a message that `ends`
+    /// what is asked about. What is found is taken in its order by whoever reads this connection.
+    ///
+    /// The readiness that the runtime knows is as old as its last wait: a timer, or a node's word, may come up before
+    /// the end of a connection that was there earlier.
+    pub fn has_left(&self, ends: impl Fn(&Message) -> bool) -> bool {
+        self.pull(|piece| (&*SockRef::from(&self.stream)).read(piece));
+        self.wake.notify_one();
+        let inbox = self.inbox.borrow();
+        inbox.end.is_some() || inbox.messages.iter().any(ends)
+    }
+
+    /// The next word that is to be taken.
+    fn next(&self) -> Option<Word> {
+        let mut inbox = self.inbox.borrow_mut();
+        if inbox.end.is_some() && !std::mem::replace(&mut inbox.told, true) {
+            return Some(Word::Ends);
+        }
+        let message = inbox.messages.pop_front();
+        if message.is_none() {
+            inbox.bytes = 0;
+        }
+        message.map(Word::Message)
+    }
+
     /// Reads messages and writes what is said, until one side ends it. `each` breaks to end it from here.
-    pub async fn pump(&self, patience: Patience, mut each: impl FnMut(Message) -> ControlFlow<End>) -> End {
-        let mut decoder = Decoder::default();
-        let mut piece = vec![0u8; PIECE].into_boxed_slice();
+    pub async fn pump(&self, patience: Patience, mut each: impl FnMut(Word) -> ControlFlow<End>) -> End {
         let mut due = patience.first.map(|t| Instant::now() + t);
-        let mut heard = false;
+        let (mut heard, mut closing) = (false, false);
         loop {
+            let mut taken = 0;
+            while let Some(word) = self.next() {
+                heard |= matches!(word, Word::Message(_));
+                if let ControlFlow::Break(end) = each(word) {
+                    return end;
+                }
+                taken += 1;
+                if taken % TURN == 0 {
+                    tokio::task::yield_now().await;
+                }
+            }
+            if let Some(end) = self.inbox.borrow().end {
+                return end;
+            }
+            let within = self.inbox.borrow().decoder.is_within();
+            due = match (within, due) {
+                _ if closing => due,
+                (true, Some(at)) if !heard => Some(at),
+                (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
+                (false, _) if heard => None,
+                (false, at) => at,
+            };
             let waits = !self.queue.borrow().is_empty();
-            if self.over.get() || (self.closing.get() && !waits) {
+            if self.over.get() || (closing && !waits) {
                 return End::Closed;
             }
             if self.half.get() == Half::Ending && !waits {
@@ -162,49 +269,19 @@
                     }
                 }
                 () = self.wake.notified() => {
-                    if self.closing.get() {
+                    if self.closing.get() && !closing {
+                        closing = true;
                         // A peer that does not read cannot hold the end up.
                         due = Some(Instant::now() + patience.message);
+                        // What had come by now is heard and answered.
+                        self.pull(|piece| self.stream.try_read(piece));
                     }
                 }
                 ready = self.stream.readable() => {
                     if ready.is_err() {
                         return End::Gone;
                     }
-                    let n = match self.stream.try_read(&mut piece) {
-                        Ok(0) if self.half.get() == Half::Shut => return End::Shut,
-                        Ok(0) => return End::Gone,
-                        Ok(n) => n,
-                        Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
-                        Err(_) => return End::Gone,
-                    };
-                    if self.closing.get() {
-                        continue;
-                    }
-                    decoder.feed(&piece[..n]);
-                    let mut taken = 0;
-                    loop {
-                        match decoder.decode() {
-                            Ok(Some(message)) => {
-                                heard = true;
-                                if let ControlFlow::Break(end) = each(message) {
-                                    return end;
-                                }
-                            }
-                            Ok(None) => break,
-                            Err(fault) => return End::Unreadable(fault),
-                        }
-                        taken += 1;
-                        if taken % TURN == 0 {
-                            tokio::task::yield_now().await;
-                        }
-                    }
-                    due = match (decoder.is_within(), due) {
-                        (true, Some(at)) if !heard => Some(at),
-                        (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
-                        (false, _) if heard => None,
-                        (false, at) => at,
-                    };
+                    self.pull(|piece| self.stream.try_read(piece));
                 }
                 () = time_up => return End::Slow,
             }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -2,9 +2,10 @@
 
 use crate::config::Config;
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
-use crate::peer::{End, Patience, Peer};
+use crate::peer::{End, Patience, Peer, Word};
 use crate::viewer::{self, FromViewer};
 use crate::{follow, node};
+use pepperhook::SessionId;
 use pepperhook_changelog::{Applied, Event, List};
 use pepperhook_net::Clock;
 use pepperhook_parameters::Sockets;
@@ -93,6 +94,7 @@
                         peer.close();
                     }
                 }
+                Effect::Look(conn, link, id) => self.look(conn, link, id),
                 Effect::Dial(link, address) => {
                     trace!(event = "dial", link = link.0, %address);
                     spawn_local(self.clone().link(link, address));
@@ -121,6 +123,21 @@
         self.idle.notify_one();
     }
 
+    /// The last look before the first byte of a set-up is written: timers, dials and nodes' words come up beside the end
+    /// of a viewer's connection in any order. Who has left is not answered for: what was found is taken by the reader of
+    /// the connection, in this same turn.
+    fn look(self: &Rc<Self>, conn: ConnId, link: LinkId, id: SessionId) {
+        let viewer = self.viewers.borrow().get(&conn).cloned();
+        let left = viewer.is_none_or(|peer| peer.has_left(|m| viewer::ends(m, id)));
+        let blocked = self.nodes.borrow().get(&link).is_none_or(|peer| peer.is_blocked());
+        trace!(event = "look", conn = conn.0, id = id.0, left, blocked);
+        match (left, blocked) {
+            (true, _) => {}
+            (false, true) => self.drive(Input::Blocked(id)),
+            (false, false) => self.drive(Input::Waits(id)),
+        }
+    }
+
     /// Lines that one cause could repeat come once in a while.
     pub fn may_warn(&self, kind: &'static str) -> bool {
         let mut warned = self.warned.borrow_mut();
@@ -196,7 +213,11 @@
         let mut bad = 0;
         let patience = Patience { first: Some(FIRST_WORD), message: WHOLE };
         let end = peer
-            .pump(patience, |m| {
+            .pump(patience, |word| {
+                let Word::Message(m) = word else {
+                    self.drive(Input::Left(id));
+                    return ControlFlow::Continue(());
+                };
                 match viewer::read(&m, &self.sockets, self.cells) {
                     Ok(FromViewer::Ask(ask)) => self.drive(Input::Ask(id, *ask)),
                     Ok(FromViewer::End(session)) => self.drive(Input::End(id, session)),
@@ -213,20 +234,19 @@
                 ControlFlow::Continue(())
             })
             .await;
-        self.viewers.borrow_mut().remove(&id);
+        // While it can still be told: what is open on it gets its answer.
         self.drive(Input::Gone(id));
-        if end != End::Gone {
-            if matches!(end, End::Noise | End::Unreadable(_)) {
-                peer.send(&pepperhook_rtsp::Message::response(400));
-            }
-            // An orderly end holds a descriptor; a flood of bad connections may not hold them all.
-            if let (Ok(peer), true) =
-                (Rc::try_unwrap(peer), self.lingering.get() < self.most_viewers / LINGERING)
-            {
-                self.lingering.set(self.lingering.get() + 1);
-                pepperhook_net::linger(&mut peer.into_stream(), 0).await;
-                self.lingering.set(self.lingering.get() - 1);
-            }
+        self.viewers.borrow_mut().remove(&id);
+        if matches!(end, End::Noise | End::Unreadable(_)) {
+            peer.send(&pepperhook_rtsp::Message::response(400));
+        }
+        // An orderly end holds a descriptor; a flood of bad connections may not hold them all.
+        if let (Ok(peer), true) = (Rc::try_unwrap(peer), self.lingering.get() < self.most_viewers / LINGERING)
+        {
+            self.lingering.set(self.lingering.get() + 1);
+            let _ = tokio::time::timeout(pepperhook_net::LINGER, peer.written()).await;
+            pepperhook_net::linger(&mut peer.into_stream(), 0).await;
+            self.lingering.set(self.lingering.get() - 1);
         }
     }
 
@@ -252,16 +272,19 @@
         self.drive(Input::LinkUp(id));
         let patience = Patience { first: None, message: WHOLE };
         let end = peer
-            .pump(patience, |m| match node::read(&m, &self.sockets) {
-                Ok(said) => {
-                    self.drive(Input::Node(id, said));
-                    ControlFlow::Continue(())
-                }
-                Err(node::Bad) => {
-                    if self.may_warn("noise-message") {
-                        warn!(event = "node-message", %address, start = ?m.start, fields = ?m.fields, "a message makes no sense here");
+            .pump(patience, |word| {
+                let Word::Message(m) = word else { return ControlFlow::Continue(()) };
+                match node::read(&m, &self.sockets) {
+                    Ok(said) => {
+                        self.drive(Input::Node(id, said));
+                        ControlFlow::Continue(())
+                    }
+                    Err(node::Bad) => {
+                        if self.may_warn("noise-message") {
+                            warn!(event = "node-message", %address, start = ?m.start, fields = ?m.fields, "a message makes no sense here");
+                        }
+                        ControlFlow::Break(End::Noise)
                     }
-                    ControlFlow::Break(End::Noise)
                 }
             })
             .await;
@@ -280,6 +303,9 @@
             let next = self.core.borrow().next_wake();
             tokio::select! {
                 () = self.clock.until(next) => {
+                    // What came in the same wake was there first: an answer is not too late for being read after the
+                    // timer that waits for it.
+                    tokio::task::yield_now().await;
                     let mut out = Vec::new();
                     self.core.borrow_mut().wake(self.clock.now(), &mut out);
                     self.carry_out(out);
--- a/crates/platform/src/viewer.rs
+++ b/crates/platform/src/viewer.rs
@@ -59,6 +59,12 @@
     }
 }
 
+/// Whether a message gives this set-up up.
+pub fn ends(m: &Message, id: SessionId) -> bool {
+    let named = || m.field("Session").and_then(words::id) == Some(id.0);
+    matches!(&m.start, Start::Request(method, _) if method == "TEARDOWN") && named()
+}
+
 fn ask(m: &Message, uri: &str, id: SessionId, known: &Sockets, cells: u32) -> Option<Ask> {
     let title = words::id(&uri[ROOT.len()..])?;
     let class = m.field("Priority-Class")?;
