Platform: departures, kills and hand-overs in the histories under any customer's settings

Need: the property test of settings at random played closes, give-ups and lists, yet no departure that the front had not heard of, no killed process, and did not look at what is held at the end. Change: a client departs at one moment and the core hears of it at another, by a look alone between them; the process is killed and what stands is handed over to the next; at the end every viewer goes and sessions, ends, connections, lives must be as at first. The checker forbids a set-up from the departure on, a 200 once the core has heard, and owes each request its answer. Planted: a set-up after a departure, a 200 after the end, no answer at all; each is caught.

--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -54,7 +54,9 @@
     ready_answer: Option<bytes::Bytes>,
     answered: bool,
     dropped: bool,
-    /// Its viewer's connection has ended: nothing is begun for it, and it still gets its whole answer.
+    /// Its viewer has gone away, whether the front has heard of it or not: nothing is begun for it.
+    away: bool,
+    /// The front has heard that its viewer's connection has ended: it still gets its whole answer, no 200.
     left: bool,
 }
 
@@ -121,12 +123,24 @@
     pub fn input(&mut self, now: Time, input: &Input) {
         match input {
             Input::Opened(conn, _) => drop(self.conns.insert(conn.0)),
+            // Handed over: no answer is owed.
+            Input::Ask(_, ask) if ask.at.is_some() => {}
             Input::Ask(conn, ask) if self.conns.contains(&conn.0) && !self.requests.contains_key(&ask.id) => {
                 let paid = self.paid[usize::from(ask.wish.class.0)];
                 let due = now + ask.wish.patience + SLACK;
                 let (class, title, top) = (usize::from(ask.wish.class.0), ask.wish.title.0, ask.wish.top);
                 let left = self.left.contains(&conn.0);
-                let new = Request { class, title, top, paid, due, conn: conn.0, left, ..Request::default() };
+                let new = Request {
+                    class,
+                    title,
+                    top,
+                    paid,
+                    due,
+                    conn: conn.0,
+                    left,
+                    away: left,
+                    ..Request::default()
+                };
                 self.requests.insert(ask.id, new);
                 self.taken.push(now);
             }
@@ -170,7 +184,26 @@
     /// A connection has ended on its viewer's side.
     fn leave(&mut self, conn: u64) {
         self.left.insert(conn);
-        self.requests.values_mut().filter(|r| r.conn == conn).for_each(|r| r.left = true);
+        self.requests.values_mut().filter(|r| r.conn == conn).for_each(|r| (r.left, r.away) = (true, true));
+    }
+
+    /// A viewer closes its connection; the front has not heard of it yet.
+    pub fn departs(&mut self, conn: ConnId) {
+        self.requests.values_mut().filter(|r| r.conn == conn.0).for_each(|r| r.away = true);
+    }
+
+    /// The process is killed: what was open is over with it. Sessions that stand go on at their nodes.
+    pub fn killed(&mut self) -> Vec<SessionId> {
+        self.requests.values_mut().filter(|r| !r.answered).for_each(|r| (r.dropped, r.out) = (true, None));
+        self.links.clear();
+        self.shut.clear();
+        self.conns.clear();
+        self.standing.iter().copied().collect()
+    }
+
+    /// Sessions that stand for their viewers.
+    pub fn standing(&self) -> usize {
+        self.standing.len()
     }
 
     fn said(&mut self, link: LinkId, said: &FromNode) {
@@ -227,7 +260,7 @@
                 if r.paid && r.may_have_run {
                     return Err(format!("{id:?} is paid and sent again though it may have run"));
                 }
-                if r.answered || r.dropped || r.left || now > r.due {
+                if r.answered || r.dropped || r.away || now > r.due {
                     return Err(format!("{id:?} sent though nobody waits for it"));
                 }
                 (r.out, r.may_have_run) = (Some(link), true);
--- a/crates/platform/src/core/tests/customers.rs
+++ b/crates/platform/src/core/tests/customers.rs
@@ -92,8 +92,11 @@
     if rng.random() { m.with("X-Length", "8200.0") } else { m }
 }
 
+/// What came of a history: set-ups, answers that play, refusals; departures, restarts, hand-overs.
+type Seen = ([usize; 3], [usize; 3]);
+
 /// One customer and one history.
-fn play(seed: u64, steps: &[(u8, usize, u64)]) -> Result<[usize; 3], String> {
+fn play(seed: u64, steps: &[(u8, usize, u64)]) -> Result<Seen, String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let v = customer(&mut rng);
     let own = pepperhook_parameters::decisions(&v)?;
@@ -109,6 +112,13 @@
             }
         } else if (11..13).contains(&(what % 16)) {
             j.latest_plays();
+        } else if *what >= 232 && which % 2 == 0 {
+            // Rarer than the rest, so that something stands or is open then.
+            match which / 2 % 4 {
+                0 => j.departs(),
+                1 => j.notices(which / 8),
+                _ => j.restarts(),
+            }
         } else if what % 16 < 15 || which % 4 == 0 {
             // The list changes more seldom than in other histories, so that more is set up.
             j.step(*what, *which);
@@ -116,7 +126,8 @@
         j.pass(ms * MS);
     }
     j.pass(120 * S);
-    j.verdict().map(|()| j.seen())
+    j.verdict()?;
+    j.ends_whole().map(|()| (j.seen(), j.ends))
 }
 
 #[test]
@@ -124,14 +135,16 @@
     let config = Config { failure_persistence: None, ..Config::with_cases(700) };
     let mut runner = TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha));
     let steps = prop::collection::vec((any::<u8>(), 0usize..64, 0u64..300), 1..120);
-    let sum = std::cell::Cell::new([0; 3]);
+    let sum = std::cell::Cell::new([0; 6]);
     let all = runner.run(&(any::<u64>(), steps), |(seed, steps)| {
         let seen = play(seed, &steps).map_err(|e| TestCaseError::fail(format!("{e}; customer {seed}")))?;
-        sum.set([0, 1, 2].map(|i| sum.get()[i] + seen[i]));
+        let seen: Vec<usize> = seen.0.into_iter().chain(seen.1).collect();
+        sum.set(std::array::from_fn(|i| sum.get()[i] + seen[i]));
         Ok(())
     });
     assert!(all.is_ok(), "{}", all.expect_err("a fault"));
     // The histories reach nodes and viewers.
-    println!("set-ups, plays, refusals: {:?}", sum.get());
-    assert!(sum.get().iter().all(|n| *n > 200), "{:?}", sum.get());
+    println!("set-ups, plays, refusals, departures, restarts, hand-overs: {:?}", sum.get());
+    assert!(sum.get()[..3].iter().all(|n| *n > 200), "{:?}", sum.get());
+    assert!(sum.get()[3..].iter().all(|n| *n > 50), "{:?}", sum.get());
 }
--- a/crates/platform/src/core/tests/histories.rs
+++ b/crates/platform/src/core/tests/histories.rs
@@ -14,6 +14,16 @@
     sent: Vec<(LinkId, SessionId)>,
     pub next: u64,
     conn: u64,
+    /// What each asked for.
+    wishes: BTreeMap<SessionId, Wish>,
+    /// Asked on the connection that is in use.
+    asked: Vec<SessionId>,
+    /// Connections that their viewers have closed, of which the core has not heard.
+    away: Vec<ConnId>,
+    /// Settings and descriptors, for the next process.
+    given: (Value, usize),
+    /// Departures, restarts and hand-overs so far.
+    pub ends: [usize; 3],
     fault: Option<String>,
 }
 
@@ -38,6 +48,11 @@
             sent: Vec::new(),
             next: 1,
             conn: 1,
+            wishes: BTreeMap::new(),
+            asked: Vec::new(),
+            away: Vec::new(),
+            given: (settings.clone(), descriptors),
+            ends: [0; 3],
             fault: None,
         };
         j.tell(Input::Nodes(nodes.to_vec()));
@@ -70,10 +85,86 @@
     }
 
     pub fn ask(&mut self, ask: Ask) {
+        self.asked.push(ask.id);
+        self.wishes.insert(ask.id, ask.wish);
         self.tell(Input::Ask(ConnId(self.conn), ask));
         self.next += 1;
     }
 
+    /// The viewer closes the connection in use; the core finds that by a look alone, until it is told.
+    pub fn departs(&mut self) {
+        self.checker.departs(ConnId(self.conn));
+        self.world.leaves.extend(std::mem::take(&mut self.asked));
+        self.away.push(ConnId(self.conn));
+        self.ends[0] += 1;
+        self.conn += 1;
+        self.tell(Input::Opened(ConnId(self.conn), HERE));
+    }
+
+    /// The core hears of a connection that was closed, in one step or two.
+    pub fn notices(&mut self, which: usize) {
+        if self.away.is_empty() {
+            return;
+        }
+        let conn = self.away.remove(which % self.away.len());
+        if which % 2 == 0 {
+            self.tell(Input::Left(conn));
+        }
+        self.tell(Input::Gone(conn));
+    }
+
+    /// The process is killed and comes up again from nothing; some of what stands is handed over to it.
+    pub fn restarts(&mut self) {
+        let stands = self.checker.killed();
+        let now = self.world.now;
+        let (settings, descriptors) = self.given.clone();
+        self.world = World::of(&settings, descriptors, &[]);
+        (self.world.now, self.conn) = (now, self.conn + 1);
+        self.dials.clear();
+        self.links.clear();
+        self.shut.clear();
+        self.sent.clear();
+        self.asked.clear();
+        self.away.clear();
+        self.ends[1] += 1;
+        self.tell(Input::Nodes([1, 2, 3].map(|id| node(id, State::Ready)).to_vec()));
+        self.tell(Input::Opened(ConnId(self.conn), HERE));
+        for id in stands {
+            // Where it plays is not kept here: its node says nothing of it, or its own end.
+            let at = Some(ServerId(1 + (id.0 % 3) as u32));
+            let wish = self.wishes.get(&id).copied().unwrap_or(ask(id.0, 0).wish);
+            self.tell(Input::Ask(ConnId(self.conn), Ask { at, wish, ..ask(id.0, 0) }));
+            self.ends[2] += 1;
+        }
+    }
+
+    /// The end of a history: every viewer goes, every time passes, and nothing is owed or held.
+    pub fn ends_whole(&mut self) -> Result<(), String> {
+        self.departs();
+        while !self.away.is_empty() {
+            self.notices(0);
+        }
+        let standing: Vec<_> = self.world.core.sessions.keys().copied().collect();
+        standing.into_iter().for_each(|id| self.tell(Input::End(ConnId(self.conn), id)));
+        self.pass(120 * S);
+        self.verdict()?;
+        let c = &self.world.core;
+        let held = [
+            ("sessions", c.sessions.len()),
+            ("ended", c.ended.len() + c.ended_order.len()),
+            ("untold", c.untold.len()),
+            ("early", c.early.len()),
+            ("unplaced", c.unplaced.len()),
+            ("connections of viewers", c.conns.len().saturating_sub(2)),
+            ("lives", c.lives.len().saturating_sub(3)),
+            ("pending", c.pending.len()),
+        ];
+        match held.into_iter().find(|(_, n)| *n > 0) {
+            Some((what, n)) => Err(format!("{n} {what} are held at the end")),
+            None => Ok(()),
+        }
+    }
+
     /// The node of the latest set-up says that it plays.
     pub fn latest_plays(&mut self) {
         if let Some((link, id)) = self.sent.last().copied() {
@@ -231,6 +322,21 @@
     let over = Effect::Tell(ConnId(1), ToViewer::Over(SessionId(1), 7, 16));
     assert!(fault(&mut j, &over).contains("did not stand"));
 
+    let full = Input::Node(link, FromNode::Ended(SessionId(1), Outcome::Full, Vec::new()));
+    let (mut j, _) = sent(0);
+    j.checker.input(j.world.now, &full);
+    j.checker.departs(ConnId(1));
+    assert!(fault(&mut j, &again(link)).contains("nobody waits"), "it has closed, though nobody was told");
+    j.checker.input(j.world.now, &Input::Node(link, plays(1)));
+    j.checker.input(j.world.now, &Input::Left(ConnId(1)));
+    assert!(j.checker.end().is_err_and(|e| e.contains("no answer")), "whoever reads on is owed the end");
+    let mut served = Checker::new(vec![false, true], &settings());
+    served.input(T0, &Input::Opened(ConnId(1), HERE));
+    served.input(T0, &Input::Ask(ConnId(1), ask(1, 0)));
+    served.input(T0, &Input::Left(ConnId(1)));
+    let plays_now = Effect::Tell(ConnId(1), ToViewer::Plays(SessionId(1), Bytes::from_static(b"answer")));
+    assert!(served.effect(T0, &plays_now).is_err_and(|e| e.contains("has left")));
+
     let (mut j, link) = sent(0);
     j.checker.input(j.world.now, &Input::Node(link, plays(1)));
     assert_eq!(j.checker.effect(j.world.now, &Effect::Shut(link)), Ok(()));
