--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -201,11 +201,6 @@
         self.standing.iter().copied().collect()
     }
 
-    /// Sessions that stand for their viewers.
-    pub fn standing(&self) -> usize {
-        self.standing.len()
-    }
-
     fn said(&mut self, link: LinkId, said: &FromNode) {
         let (FromNode::Plays(id, ..) | FromNode::Ended(id, ..) | FromNode::Over(id, ..)) = said else {
             return;
