Platform: a set-up is not written to a connection that its node has ended or that takes no bytes

Cause: a set-up decided in the wake in which its node ends the idle connection, or while that connection takes no bytes, was put behind what waits (peer.rs send): it begins at some later moment, for whoever may have left by then, or fails a paid request though it never ran (core/attempts.rs write_set_up). Change: the last look covers the node's side; such a connection is passed over until something comes on it, and another one to the same node is tried, three an attempt; then the attempt counts as unsent. Tests: core (passed over, serves again, bounded dials, a late connection carries nothing) and processes, each crossing in either order: an idle connection's end under a set-up, a give-up under a 200, an answer unread when its deadline passes.

--- a/crates/cli/tests/platform_leaving.rs
+++ b/crates/cli/tests/platform_leaving.rs
@@ -40,6 +40,8 @@
 
 struct Scene {
     front: Front,
+    /// Nodes' ends of the connections on which something was set up.
+    idle: Vec<TcpStream>,
     heard: Receiver<Heard>,
     /// Keeps the change log's words.
     _asked: Receiver<u64>,
@@ -48,19 +50,27 @@
 impl Scene {
     /// A front of three nodes and a class that may be repeated.
     fn new() -> Self {
+        Self::of("idempotent")
+    }
+
+    fn of(idempotency: &str) -> Self {
         let (tell, heard) = channel();
         let nodes = [0, 1, 2].map(|which| node(which, tell.clone()));
         let (log, asked) = change_log(Vec::new());
         let mut config = config(&nodes, log);
-        config["settings"]["classes"][0]["idempotency"] = json!("idempotent");
+        config["settings"]["classes"][0]["idempotency"] = json!(idempotency);
         // Only what a test asks for is heard at the nodes.
         config["settings"]["limits"]["probes"] = json!(false);
-        Self { front: front(&config), heard, _asked: asked }
+        Self { front: front(&config), idle: Vec::new(), heard, _asked: asked }
     }
 
     /// The same, with a connection up to each node that carries nothing now: what is decided is sent in the same turn.
     fn warm() -> Self {
-        let scene = Self::new();
+        Self::warm_of("idempotent")
+    }
+
+    fn warm_of(idempotency: &str) -> Self {
+        let mut scene = Self::of(idempotency);
         let (mut client, mut met) = (scene.front.connect(), [false; 3]);
         for id in 100..200 {
             client.write_all(&set_up(id, 2_500)).expect("writes");
@@ -68,6 +78,7 @@
             plays(&mut at, &m);
             assert!(read(&mut client).expect("an answer").head.starts_with("RTSP/1.0 200"));
             met[which] = true;
+            scene.idle.push(at);
             if met == [true; 3] {
                 return scene;
             }
@@ -279,3 +290,78 @@
     assert!(read(&mut stays).expect("an answer").head.starts_with("RTSP/1.0 200"));
     assert_eq!(scene.set_ups_within(SECOND / 2), [""; 0]);
 }
+
+#[test]
+fn a_node_that_ends_an_idle_connection_under_a_set_up_costs_a_paid_request_nothing() {
+    for node_first in [true, false] {
+        let scene = Scene::warm_of("at_most_once");
+        let ends = || scene.idle.iter().for_each(|s| s.shutdown(Shutdown::Write).expect("shuts"));
+        let mut client = scene.front.connect();
+        // Every connection that is up lies ended in the wake in which the request comes.
+        scene.in_one_wake(|| {
+            if node_first {
+                ends();
+            }
+            client.write_all(&set_up(1, 2_500)).expect("writes");
+            if !node_first {
+                ends();
+            }
+        });
+        let (mut at, m, _) = scene.next("SETUP");
+        assert_eq!(m.field("Session"), Some("0000000000000001"));
+        plays(&mut at, &m);
+        let answer = read(&mut client).expect("an answer");
+        assert!(answer.head.starts_with("RTSP/1.0 200"), "node first: {node_first}, {answer:?}");
+        assert_eq!(scene.set_ups_within(SECOND / 4), [""; 0], "a paid class is set up once");
+    }
+}
+
+#[test]
+fn an_answer_read_in_the_wake_of_its_deadline_is_one_whole_answer_and_node_and_client_agree() {
+    let scene = Scene::warm_of("at_most_once");
+    let mut client = scene.front.connect();
+    client.write_all(&set_up(1, 700)).expect("writes");
+    let (mut at, m, _) = scene.next("SETUP");
+    scene.in_one_wake(|| {
+        plays(&mut at, &m);
+        // Its time runs out with the node's answer unread.
+        let due = Instant::now() + Duration::from_millis(800);
+        while Instant::now() < due {
+            std::thread::park_timeout(due.saturating_duration_since(Instant::now()));
+        }
+    });
+    let answer = read(&mut client).expect("a whole answer");
+    assert!(answer.head.starts_with("RTSP/1.0 200"), "what was there in time is passed on: {answer:?}");
+    client.set_read_timeout(Some(SECOND / 4)).expect("a time");
+    assert!(read(&mut client).is_err(), "no second answer");
+    let words: Vec<_> = std::iter::from_fn(|| scene.heard.try_recv().ok()).collect();
+    assert!(words.iter().all(|(_, m, _)| !m.head.starts_with("TEARDOWN")), "{words:?}");
+}
+
+#[test]
+fn a_give_up_that_crosses_the_nodes_answer_ends_the_session_at_its_node_in_either_order() {
+    for node_first in [true, false] {
+        let scene = Scene::warm();
+        let mut client = scene.front.connect();
+        client.write_all(&set_up(1, 1_500)).expect("writes");
+        let (mut at, m, _) = scene.next("SETUP");
+        scene.in_one_wake(|| {
+            if node_first {
+                plays(&mut at, &m);
+            }
+            client.write_all(&give_up(1)).expect("writes");
+            if !node_first {
+                plays(&mut at, &m);
+            }
+        });
+        let (_, word, _) = scene.next("TEARDOWN");
+        assert_eq!(word.field("Session"), Some("0000000000000001"), "node first: {node_first}");
+        let mut answers = Vec::new();
+        while !answers.iter().any(|m: &Raw| m.field("CSeq") == Some("2")) {
+            answers.push(read(&mut client).expect("the give-up is heard"));
+        }
+        let to_set_up = answers.iter().filter(|m| m.field("CSeq") == Some("1")).count();
+        assert!(to_set_up <= 1, "{answers:?}");
+        assert_eq!(scene.set_ups_within(SECOND / 4), [""; 0], "node first: {node_first}");
+    }
+}
--- a/crates/platform/src/core/attempts.rs
+++ b/crates/platform/src/core/attempts.rs
@@ -11,6 +11,9 @@
 /// where a word comes later, the give-up that it crossed ends the session at its node.
 const GRACE: Time = 30 * MS;
 
+/// Connections that are tried for one attempt, at most: one that the node had just ended, one that takes no bytes, a new one.
+const TRIED: u8 = 3;
+
 /// One attempt.
 pub struct Attempt {
     pub life: LifeId,
@@ -26,8 +29,9 @@
 pub enum Stage {
     /// Its connection is not up yet: nothing was sent. So many dials were made for it.
     Dialling(u8),
-    /// Its connection is up; whether its viewer still waits is being looked at. Nothing was sent.
-    Offered,
+    /// Its connection is up; whether its viewer still waits is being looked at. Nothing was sent. So many connections were
+    /// tried for it.
+    Offered(u8),
     /// Sent.
     Sent,
     /// Given up; the node is heard out.
@@ -79,10 +83,10 @@
     /// Offers a set-up once its connection is up: its viewer may have left since it was decided, and nothing of that may
     /// have been read yet.
     pub(super) fn write_set_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
-        let Some(Attempt { life, link, until, stage: Stage::Dialling(_), .. }) = self.attempt(id) else {
+        let Some(Attempt { life, link, until, stage: Stage::Dialling(tried), .. }) = self.attempt(id) else {
             return;
         };
-        let (life, link, until) = (*life, *link, *until);
+        let (life, link, until, tried) = (*life, *link, *until, *tried);
         if !self.links.get(&link).is_some_and(Link::up) {
             return;
         }
@@ -92,14 +96,14 @@
         let Some(s) = self.sessions.get_mut(&id) else { return };
         let conn = s.conn;
         if let Phase::Open(Some(attempt)) = &mut s.phase {
-            attempt.stage = Stage::Offered;
+            attempt.stage = Stage::Offered(tried);
         }
         out.push(Effect::Look(conn, link, id));
     }
 
     /// Writes a set-up whose viewer waits. The node is looked at again, since dialling takes time.
     pub(super) fn send_set_up(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
-        let Some(Attempt { life, link, until, stage: Stage::Offered, .. }) = self.attempt(id) else {
+        let Some(Attempt { life, link, until, stage: Stage::Offered(_), .. }) = self.attempt(id) else {
             return;
         };
         let (life, link, until) = (*life, *link, *until);
@@ -124,10 +128,19 @@
         self.write(now, link, word, out);
     }
 
-    /// Its connection takes no bytes now: nothing was sent, nor will be.
-    pub(super) fn blocked(&mut self, id: SessionId) {
-        if self.attempt(id).is_some_and(|a| a.stage == Stage::Offered) {
-            self.attempt_ended(id, Outcome::Unsent, Vec::new());
+    /// Its connection takes no bytes now, or the node has ended it: nothing was sent over it, nor will be. Another one
+    /// serves, within bounds.
+    pub(super) fn blocked(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
+        let Some(Attempt { life, link, stage: Stage::Offered(tried), .. }) = self.attempt(id) else { return };
+        let (life, link, tried) = (*life, *link, *tried);
+        if let Some(l) = self.links.get_mut(&link) {
+            l.blocked = true;
+            l.open.remove(&id);
+        }
+        let next = if tried < TRIED { self.link_for_set_up(now, life, out) } else { None };
+        match next {
+            Some(next) => self.move_set_up(now, id, next, tried + 1, out),
+            None => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
         }
     }
 
@@ -164,7 +177,7 @@
         let (link, life, stage) = (attempt.link, attempt.life, attempt.stage);
         match stage {
             Stage::Dialling(_) => self.attempt_ended(id, Outcome::ConnectFailed, Vec::new()),
-            Stage::Offered => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
+            Stage::Offered(_) => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
             Stage::Torn => self.attempt_ended(id, Outcome::LinkBroken, Vec::new()),
             Stage::Closing => {}
             Stage::Sent => {
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -30,6 +30,8 @@
     pub opened: Time,
     /// A set-up has gone over it: it is kept before others, since a node's work for a new connection is done with it.
     pub carried: bool,
+    /// It took no bytes, or had ended, when a set-up was about to be written; until something comes on it.
+    pub blocked: bool,
     /// When something last went over it, either way.
     pub used: Time,
     /// Set-ups on it, or waiting for it.
@@ -84,6 +86,7 @@
             way: Way::Dialled,
             opened: now,
             carried: false,
+            blocked: false,
             used: now,
             open: BTreeSet::new(),
             probes: BTreeSet::new(),
@@ -144,7 +147,7 @@
         life: LifeId,
         out: &mut Vec<Effect>,
     ) -> Option<LinkId> {
-        let free = self.ups(life).filter(|(_, l)| l.open.is_empty() && self.fresh(now, l));
+        let free = self.ups(life).filter(|(_, l)| l.open.is_empty() && !l.blocked && self.fresh(now, l));
         if let Some((link, _)) = free.max_by_key(|(_, l)| (l.carried, l.used)) {
             return Some(link);
         }
@@ -153,7 +156,7 @@
         }
         let ids = self.lives.get(&life).into_iter().flat_map(|l| &l.links);
         let some = ids.filter_map(|id| self.links.get(id).map(|l| (*id, l)));
-        let room = some.filter(|(_, l)| !l.is_shut() && l.open.len() < self.sockets.streams);
+        let room = some.filter(|(_, l)| !l.is_shut() && !l.blocked && l.open.len() < self.sockets.streams);
         room.min_by_key(|(_, l)| (!l.up(), l.open.len())).map(|(link, _)| link)
     }
 
@@ -288,7 +291,14 @@
         self.dial_ended(now, l.life, how, out);
     }
 
-    fn move_set_up(&mut self, now: Time, id: SessionId, to: LinkId, dials: u8, out: &mut Vec<Effect>) {
+    pub(super) fn move_set_up(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        to: LinkId,
+        dials: u8,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(attempt) = self.attempt_mut(id) else { return };
         (attempt.link, attempt.stage) = (to, Stage::Dialling(dials));
         if let Some(link) = self.links.get_mut(&to) {
@@ -308,7 +318,7 @@
                         attempt.stage = Stage::Torn;
                     }
                 }
-                Some(Stage::Offered) => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
+                Some(Stage::Offered(_)) => self.attempt_ended(id, Outcome::Unsent, Vec::new()),
                 // The close gives it up at the node.
                 Some(Stage::Closing) => self.attempt_ended(id, Outcome::TimedOut, Vec::new()),
                 _ => {}
@@ -321,7 +331,7 @@
 
     pub(super) fn node(&mut self, now: Time, link: LinkId, said: FromNode, out: &mut Vec<Effect>) {
         let Some(l) = self.links.get_mut(&link) else { return };
-        l.used = now;
+        (l.used, l.blocked) = (now, false);
         let life = l.life;
         if let Some(life) = self.lives.get_mut(&life) {
             life.heard = now;
--- a/crates/platform/src/core/lives.rs
+++ b/crates/platform/src/core/lives.rs
@@ -259,7 +259,7 @@
     fn end_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
         let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
         for id in open {
-            let unsent = |a: &Attempt| matches!(a.stage, Stage::Dialling(_) | Stage::Offered);
+            let unsent = |a: &Attempt| matches!(a.stage, Stage::Dialling(_) | Stage::Offered(_));
             let sent = self.attempt(id).is_some_and(|a| !unsent(a));
             self.attempt_ended(id, if sent { Outcome::Broken } else { Outcome::ConnectFailed }, Vec::new());
         }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -214,7 +214,7 @@
             Input::Left(conn) => self.left(now, conn, out),
             Input::Gone(conn) => self.gone(now, conn, out),
             Input::Waits(id) => self.send_set_up(now, id, out),
-            Input::Blocked(id) => self.blocked(id),
+            Input::Blocked(id) => self.blocked(now, id, out),
             Input::Crowded => self.crowded(out),
             Input::LinkUp(link) => self.link_up(now, link, out),
             Input::LinkFailed(link, how) => self.link_failed(now, link, how, out),
--- a/crates/platform/src/core/tests/leaving.rs
+++ b/crates/platform/src/core/tests/leaving.rs
@@ -145,21 +145,46 @@
 }
 
 #[test]
-fn a_set_up_whose_connection_takes_no_bytes_is_held_to_be_unsent_and_may_go_elsewhere_though_paid() {
+fn a_set_up_whose_connection_takes_no_bytes_goes_over_another_one_though_paid() {
     let (mut w, link) = offered();
     let out = w.tell(Input::Blocked(SessionId(1)));
-    assert!(!wrote(&out, &ToNode::GiveUp(SessionId(1), 7)), "{out:?}");
+    let (next, _) = dialled(&out).expect("another connection to the node");
+    assert!(next != link && out.iter().all(|e| !matches!(e, Effect::Write(..))), "{out:?}");
     assert!(w.tell(Input::Waits(SessionId(1))).is_empty(), "that look is over");
-    let mut out = out;
-    for _ in 0..8 {
-        let Some((next, _)) = dialled(&out).filter(|(l, _)| *l != link) else { break };
-        out.extend(w.tell(Input::LinkUp(next)));
-        if set_up(&out).is_some() {
-            break;
-        }
+    assert_eq!(set_up(&w.tell(Input::LinkUp(next))), Some((next, SessionId(1))));
+    // Once the node says something on the first one it serves again.
+    let blocked = |w: &World| w.core.links.get(&link).map(|l| l.blocked);
+    assert_eq!(blocked(&w), Some(true));
+    w.tell(Input::Node(link, FromNode::Other));
+    assert_eq!(blocked(&w), Some(false));
+}
+
+#[test]
+fn a_node_whose_connections_all_take_no_bytes_costs_a_few_of_them_and_what_never_ran_is_refused() {
+    let (mut w, _) = offered();
+    w.leaves.insert(SessionId(1));
+    let mut dials = 0;
+    for _ in 0..40 {
+        let out = w.tell(Input::Blocked(SessionId(1)));
+        let Some((next, _)) = dialled(&out) else { continue };
+        dials += 1;
+        w.tell(Input::LinkUp(next));
     }
     w.pass(10 * S);
-    let failed = told(&w.out, &ToViewer::Failed(SessionId(1)));
-    assert!(set_ups(&w) > 0 || !failed, "what never ran is sent elsewhere or refused: {:?}", w.out);
-    assert_eq!(w.core.open(), 0);
+    assert!(dials <= 9, "{dials} dials: three connections an attempt, three attempts");
+    assert!(told(&w.out, &ToViewer::Refused(SessionId(1), None)), "{:?}", w.out);
+    assert_eq!((set_ups(&w), w.core.open()), (0, 0));
+}
+
+#[test]
+fn a_connection_that_comes_up_after_its_attempt_moved_on_carries_nothing() {
+    let mut w = World::three();
+    let out = w.tell(Input::Ask(ConnId(1), ask(1, 0)));
+    let (late, _) = dialled(&out).expect("a dial");
+    let out = w.tell(Input::LinkFailed(late, DialEnd::TimedOut));
+    let (next, _) = dialled(&out).or_else(|| dialled(&w.pass(S))).expect("another dial");
+    assert_eq!(set_up(&w.tell(Input::LinkUp(next))), Some((next, SessionId(1))));
+    assert_eq!(w.tell(Input::LinkUp(late)), [Effect::Close(late)]);
+    w.tell(Input::Node(next, plays(1)));
+    assert_eq!(set_ups(&w), 1);
 }
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -132,7 +132,8 @@
     Gone(ConnId),
     /// The viewer of a set-up that is about to be sent was looked for and waits.
     Waits(SessionId),
-    /// The connection to the node takes no bytes now, so that a set-up would be sent at some later moment.
+    /// The connection to the node takes no bytes now, so that a set-up would be sent at some later moment, or the node
+    /// has ended it.
     Blocked(SessionId),
     /// There are as many viewers' connections as there may be.
     Crowded,
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -129,7 +129,9 @@
     fn look(self: &Rc<Self>, conn: ConnId, link: LinkId, id: SessionId) {
         let viewer = self.viewers.borrow().get(&conn).cloned();
         let left = viewer.is_none_or(|peer| peer.has_left(|m| viewer::ends(m, id)));
-        let blocked = self.nodes.borrow().get(&link).is_none_or(|peer| peer.is_blocked());
+        let node = self.nodes.borrow().get(&link).cloned();
+        // A connection that the node ends for idleness crosses the set-up; written there it might have run.
+        let blocked = node.is_none_or(|peer| peer.is_blocked() || peer.has_left(|_| false));
         trace!(event = "look", conn = conn.0, id = id.0, left, blocked);
         match (left, blocked) {
             (true, _) => {}
