Settings are judged field by field, and a reload is taken whole or not at all

Seen: SIGHUP read the whole file and took the change log's address whatever else it said (shell.rs, `reload`): of another front, of other classes, with zones in another order. From then on the list was built from another customer's records. A FIFO at the file's place held the front up for ever (config.rs, `load` opened it), and an endless file was read to its end. At a start a configuration was taken with `az` beyond `zones`, `max_attempts` 0, a doubled class, `seats` shorter than the classes (no cap then), a ration of another form (none then), a key given twice (the last one counted); 2^32 racks were allocated; faults that the module itself found named neither file nor key (cli, `platform`). `limits.sockets` above the process's own limit bound nothing: at 64 descriptors and 1,024 told, the 54th idle client had no answer and nothing else could be opened.

Checked, no fault: a file that is not JSON or lacks a field was kept out already.

Change: `Start::reload` compares with the start: name, listen, names and order of classes, their deadlines and idempotency, zones, flavors, report fields, tenants, groups and positions are what records and requests are read by; if one differs the file is kept out, with file and field. Any other difference waits for the next start and is named in one line. `within_bounds` names figures that no deployment can mean; values that may be absent and have another form are named too, for the simulator as well; keys may come once; 8 MiB, regular files only. Descriptors are the smaller one of the file's limit and RLIMIT_NOFILE. Tests of `parameters` moved into a file of their own.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -29,10 +29,10 @@
     }
     log::start(pepperhook_settings::LogForm::Text, "info");
     run(async move {
-        match pepperhook_platform::run(config, path).await {
+        match pepperhook_platform::run(config, path.clone()).await {
             Ok(()) => Exit::Done,
             Err(e) => {
-                eprintln!("pepperhook: {e}");
+                eprintln!("pepperhook: {}: {e}", path.display());
                 Exit::Usage
             }
         }
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -113,9 +113,21 @@
 }
 
 pub fn front(config: &Value) -> Front {
+    started(Command::new(env!("CARGO_BIN_EXE_pepperhook")), config)
+}
+
+/// A front whose process may hold so many descriptors, whatever its configuration says.
+pub fn limited(config: &Value, descriptors: u32) -> Front {
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"")]);
+    command.arg(env!("CARGO_BIN_EXE_pepperhook"));
+    started(command, config)
+}
+
+fn started(mut command: Command, config: &Value) -> Front {
     let file = tempfile::NamedTempFile::new().expect("a file");
     std::fs::write(file.path(), config.to_string()).expect("writes");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pepperhook"))
+    let mut child = command
         .args(["platform", "--config"])
         .arg(file.path())
         .env_remove("BALANCER_NAME")
--- a/crates/parameters/src/lib.rs
+++ b/crates/parameters/src/lib.rs
@@ -1,5 +1,11 @@
 //! Reads the settings object that the simulator's first message and the platform's configuration hand over alike.
-//! Keys it does not know are passed over; one that is missing is named.
+//! Keys it does not know are passed over; one that is missing, or of another form than the pages give it, is named.
+
+mod bounds;
+mod json;
+
+pub use bounds::within_bounds;
+pub use json::object;
 
 use pepperhook::{
     Class, Gauge, Group, Prices, Repeat, RetryBudget, Rules, Rung, Settings, Tenant, Time, ZoneId,
@@ -38,12 +44,27 @@
     list(v, key)?.iter().map(one).collect()
 }
 
-fn flag(v: &Value, key: &str) -> bool {
-    v.get(key).and_then(Value::as_bool).unwrap_or(false)
+/// A value that may be absent; one of another form is no absent one.
+fn optional<'a, T>(
+    v: &'a Value,
+    key: &str,
+    read: impl Fn(&'a Value) -> Option<T>,
+    form: &str,
+) -> Parsed<Option<T>> {
+    let given = v.get(key).filter(|v| !v.is_null());
+    given.map(|v| read(v).ok_or_else(|| format!("settings: '{key}' is no {form}"))).transpose()
 }
 
-fn or(v: &Value, key: &str, absent: f64) -> f64 {
-    v.get(key).and_then(Value::as_f64).unwrap_or(absent)
+fn flag(v: &Value, key: &str) -> Parsed<bool> {
+    Ok(optional(v, key, Value::as_bool, "true or false")?.unwrap_or(false))
+}
+
+fn or(v: &Value, key: &str, absent: f64) -> Parsed<f64> {
+    Ok(optional(v, key, Value::as_f64, "number")?.unwrap_or(absent))
+}
+
+fn optional_list<'a>(v: &'a Value, key: &str) -> Parsed<&'a [Value]> {
+    Ok(optional(v, key, Value::as_array, "list")?.map_or(&[], Vec::as_slice))
 }
 
 fn class(c: &Value, i: usize, specifics: &Value) -> Parsed<Class> {
@@ -59,18 +80,22 @@
             Err(format!("settings: '{key}' is out of range"))
         }
     };
-    let group = || match c.get("group").and_then(Value::as_str) {
-        Some("zone") => Group::Zone,
-        Some("cell") => Group::Cell,
-        _ => Group::All,
+    let group = || match optional(c, "group", Value::as_str, "text")? {
+        Some("zone") => Ok(Group::Zone),
+        Some("cell") => Ok(Group::Cell),
+        Some("all") | None => Ok(Group::All),
+        Some(other) => Err(format!("settings: unknown 'group' '{other}'")),
     };
     let repeat = match text(c, "idempotency")? {
         "idempotent" => Repeat::Harmless,
-        "deduplicated" => Repeat::Within(group(), whole(c, "window_ns")?),
+        "deduplicated" => Repeat::Within(group()?, whole(c, "window_ns")?),
         "at_most_once" => Repeat::Never,
-        other => return Err(format!("settings: unknown idempotency '{other}'")),
+        other => return Err(format!("settings: unknown 'idempotency' '{other}'")),
     };
-    let live = specifics.get("is_live").and_then(|l| l.get(i)).and_then(Value::as_bool);
+    let live = optional_list(specifics, "is_live")?.get(i);
+    let live = live.map(|l| l.as_bool().ok_or("settings: 'is_live' holds no true or false")).transpose()?;
+    // Seats that are given for no class count for none; given for some, they were meant for each.
+    let seats = if optional_list(specifics, "seats")?.is_empty() { 0.0 } else { at("seats")? };
     Ok(Class {
         aim: whole(c, "aim_ns")?,
         repeat,
@@ -78,7 +103,7 @@
         scale: at("scale_by_class")?,
         floor: rung("lowest_rung")?,
         top: rung("highest_rung")?,
-        seats: at("seats").map_or(0, |s| s.max(0.0) as u32),
+        seats: seats.max(0.0) as u32,
         live: live.unwrap_or(false),
     })
 }
@@ -112,51 +137,54 @@
         return Err("settings: 'rung_kb' and 'ladder_worth' differ in length".into());
     }
     let classes = list(v, "classes")?;
-    let tenants = v.get("tenants").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+    let tenants = optional_list(v, "tenants")?;
     let gauges = v.get("load_report").and_then(|r| r.get("fields")).and_then(Value::as_array);
-    let price = |key: &str| v.get("prices").map_or(0.0, |p| or(p, key, 0.0));
-    let budget = rules.get("extra_per_request").and_then(Value::as_f64).map(|share| RetryBudget {
-        free: or(rules, "min_extra", 0.0),
-        share,
-        window: or(rules, "look_back_ns", 0.0) as u64,
+    let price = |key: &str| v.get("prices").map_or(Ok(0.0), |p| or(p, key, 0.0));
+    let share = optional(rules, "extra_per_request", Value::as_f64, "number")?;
+    let budget = share.map(|share| {
+        let (free, window) = (or(rules, "min_extra", 0.0)?, or(rules, "look_back_ns", 0.0)? as u64);
+        Parsed::Ok(RetryBudget { free, share, window })
     });
     Ok(Settings {
         fronts: small(v, "n_instances")?,
         zone: ZoneId(small(v, "az")?),
         classes: classes.iter().enumerate().map(|(i, c)| class(c, i, specifics)).collect::<Parsed<_>>()?,
-        tenants: tenants.iter().map(|t| Tenant { quota_per_s: or(t, "quota_per_s", 0.0) }).collect(),
-        over_share_worth: or(v, "over_share_worth", 1.0),
+        tenants: tenants
+            .iter()
+            .map(|t| Ok(Tenant { quota_per_s: or(t, "quota_per_s", 0.0)? }))
+            .collect::<Parsed<_>>()?,
+        over_share_worth: or(v, "over_share_worth", 1.0)?,
         ladder: rates.into_iter().zip(worths).map(|(kb, worth)| Rung { kb, worth }).collect(),
         kind_streams: numbers(specifics, "kind_slots")?,
         racks: small(specifics, "groups")?,
         cells: small(specifics, "positions")?,
         uplink_kb: number(specifics, "uplink_kb")?,
-        kb_per_weight: or(specifics, "kb_per_weight", 0.0),
-        all_links_kb: or(specifics, "all_links_kb", 0.0),
-        join: or(specifics, "join", 1.0),
-        refuses_from: or(specifics, "refuses_from", 0.0),
-        seen_after: or(specifics, "seen_after_ns", 0.0) as u64,
-        switch_cost_s: or(specifics, "switch_cost_s", 0.0),
+        kb_per_weight: or(specifics, "kb_per_weight", 0.0)?,
+        all_links_kb: or(specifics, "all_links_kb", 0.0)?,
+        join: or(specifics, "join", 1.0)?,
+        refuses_from: or(specifics, "refuses_from", 0.0)?,
+        seen_after: or(specifics, "seen_after_ns", 0.0)? as u64,
+        switch_cost_s: or(specifics, "switch_cost_s", 0.0)?,
         gauges: gauges.map_or_else(Vec::new, |g| g.iter().map(gauge).collect()),
-        probes: flag(limits, "probes"),
-        advice: flag(limits, "retry_after"),
-        max_advice: or(limits, "max_retry_after_ns", 0.0) as u64,
+        probes: flag(limits, "probes")?,
+        advice: flag(limits, "retry_after")?,
+        max_advice: or(limits, "max_retry_after_ns", 0.0)? as u64,
         max_attempts: small(limits, "max_attempts")?,
         list_on_request: v.get("membership_mode").and_then(Value::as_str) == Some("ask"),
-        step: or(v, "step_ns", 0.0) as u64,
-        idle: or(limits, "conn_idle_ns", 0.0) as u64,
+        step: or(v, "step_ns", 0.0)? as u64,
+        idle: or(limits, "conn_idle_ns", 0.0)? as u64,
         prices: Prices {
-            moved: price("moves"),
-            cross_zone: price("cross_zone"),
-            probe: price("probe"),
-            handshake: price("handshake"),
+            moved: price("moves")?,
+            cross_zone: price("cross_zone")?,
+            probe: price("probe")?,
+            handshake: price("handshake")?,
         },
         rules: Rules {
             cold_share: number(rules, "start_capacity")?,
             cold: whole(rules, "cold_ns")?,
             fall_multiple: number(rules, "fall_multiple")?,
             fall_window: whole(rules, "fall_ns")?,
-            budget,
+            budget: budget.transpose()?,
         },
     })
 }
@@ -172,6 +200,8 @@
     pub zones: Vec<String>,
     /// Names of kinds of node.
     pub kinds: Vec<String>,
+    /// Names of tenants, where they have some.
+    pub tenants: Vec<Option<String>>,
     /// Names of the values of a load report, in the module's order.
     pub fields: Vec<String>,
     /// A connection that is not up by then is given up, nanoseconds.
@@ -201,6 +231,10 @@
         deadlines: classes.iter().map(|c| whole(c, "deadline_ns")).collect::<Parsed<_>>()?,
         zones: names(v, "zones")?,
         kinds: names(v, "flavors")?,
+        tenants: optional_list(v, "tenants")?
+            .iter()
+            .map(|t| Ok(optional(t, "name", Value::as_str, "text")?.map(str::to_owned)))
+            .collect::<Parsed<_>>()?,
         fields: report.map_or_else(|| Ok(Vec::new()), |r| names(r, "fields"))?,
         dial: whole(limits, "dial_timeout_ns")?,
         idle: whole(limits, "conn_idle_ns")?,
@@ -209,20 +243,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::sockets;
-    use serde_json::json;
-
-    /// A site whose nodes report nothing need not name a report; the front did not start there.
-    #[test]
-    fn a_site_without_reports_is_read() {
-        let limits = json!({"dial_timeout_ns": 1, "conn_idle_ns": 1, "max_streams": 1});
-        let bare = json!({"classes": [], "limits": limits, "zones": [], "flavors": []});
-        for report in [json!(null), json!({"via": "silent"}), json!({"via": "silent", "fields": null})] {
-            let mut v = bare.clone();
-            v["load_report"] = report;
-            assert!(sockets(&v).is_ok_and(|s| s.fields.is_empty()), "{v}");
-        }
-        assert!(sockets(&bare).is_ok_and(|s| s.fields.is_empty()));
-    }
-}
+mod tests;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,7 +4,7 @@
 //!   by `pepperhook`.
 //! - `viewer`, `node`: the faces, which turn RTSP into the core's values and back.
 //! - `shell`: sockets, the change log, signals, on tokio's current-thread runtime.
-//! - [`config`]: what the platform tells a front end at its start.
+//! - [`config`]: what the platform tells a front end at its start, and when it is read again.
 //!
 //! Arrows go one way: faces and shell know the core, the core knows neither.
 
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,6 +1,6 @@
 //! Carries out what the core says: sockets, timers, the change log, signals. It decides nothing.
 
-use crate::config::Config;
+use crate::config::{Config, Start};
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
 use crate::peer::{End, Patience, Peer};
 use crate::viewer::{self, FromViewer};
@@ -56,6 +56,7 @@
     cells: u32,
     core: RefCell<Core>,
     list: RefCell<List>,
+    start: Start,
     log: Cell<SocketAddr>,
     /// The change log has another address.
     pub log_moved: Notify,
@@ -315,12 +316,16 @@
         self.settled(Instant::now() + LAST_WORDS).await;
     }
 
-    /// Takes what may change of the configuration while the front runs: where the change log is.
+    /// Takes what may change of the configuration while the front runs, where the change log is, or nothing of it.
     fn reload(&self, path: &Path) {
-        match Config::load(path) {
-            Ok(config) => {
-                info!(event = "config-taken", changelog = %config.changelog, "the configuration was read again");
-                if self.log.replace(config.changelog) != config.changelog {
+        match self.start.reload(path) {
+            Ok(new) => {
+                info!(event = "config-taken", changelog = %new.changelog, "the configuration was read again");
+                if !new.waiting.is_empty() {
+                    let fields = new.waiting.join(", ");
+                    info!(event = "config-waits", fields, "these fields wait for the next start");
+                }
+                if self.log.replace(new.changelog) != new.changelog {
                     self.log_moved.notify_one();
                 }
             }
@@ -337,17 +342,19 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
-    let bounds = Bounds::for_descriptors(config.descriptors);
     let invalid = |e| io::Error::new(io::ErrorKind::InvalidInput, e);
+    let bounds = Bounds::for_descriptors(config.descriptors().map_err(io::Error::other)?);
     let core =
         Core::new(config.settings.clone(), config.sockets.clone(), bounds, config.seed).map_err(invalid)?;
     let longest = Duration::from_nanos(config.sockets.deadlines.iter().copied().max().unwrap_or(0));
+    let start = config.start();
     let shell = Rc::new(Shell {
         clock: Clock::new(),
         cells: config.settings.cells,
         sockets: config.sockets,
         core: RefCell::new(core),
         list: RefCell::new(config.list),
+        start,
         log: Cell::new(config.changelog),
         log_moved: Notify::new(),
         viewers: RefCell::default(),
