The watch of the change log is bounded by whole frames, and its pauses have jitter

Seen, each by a test on real sockets before the change (crates/cli/tests/platform_watch.rs): - A log that trickles bytes and never ends a frame held the watch for ever: silence was counted by bytes (follow.rs, `once`). - One new event and then rubbish, each time: asked nine times in 421 ms, since any news put the pause back to 50 ms (follow.rs, `follow`). - A log that SIGHUP moved in a pause was asked 1.0 s later: the pause did not wait for the move. - A record at 0.0.0.0 was dialled, and this machine answered it. - 600 events written at once were all taken before anybody else had a turn. By reading: pauses had no jitter, so that 300 fronts which lost their log at one moment came back at one; a start in the future kept its node cold until then (decide.rs `warmth` takes `now - from`, 0 here); changes could make the list grow without a bound. Ruled out by tests that passed before as well: torn frames, lengths, kinds and states that lie, gaps, events told twice, older ones and older lists; zones, kinds and weights beyond the settings; moves while connected, silent, within a frame and while a dial hangs.

Change: `backoff.rs`, without I/O: pauses from the upper half of 0.2, 0.4, 0.8, 1 s by the front's seed, put back only by a connection that stood for 1 s; a log is silent 2.3 s after its last byte, and 2.3 s and its bytes at 32 KiB/s after its last whole frame. `follow.rs` waits for a move whatever else it waits for, and gives others a turn after each event. `roster.rs`: nodes at addresses that lead nowhere are left out; a start in the future counts from when it was told first. A list names 20,000 nodes at most.

--- a/crates/changelog/src/lib.rs
+++ b/crates/changelog/src/lib.rs
@@ -14,7 +14,7 @@
 const RECORD: usize = 27;
 /// Bytes of number and kind.
 const HEAD: usize = 9;
-/// Records of one frame at most; a longer frame is taken for noise.
+/// Records of one frame at most, a longer frame is taken for noise; and nodes of the list.
 const RECORDS: usize = 20_000;
 
 /// Why the bytes are no change log. The connection is of no further use.
@@ -93,6 +93,12 @@
         self.0.extend_from_slice(bytes);
     }
 
+    /// Bytes of the frame that is under way, as it announces itself; 0 where that is not told yet.
+    #[must_use]
+    pub fn announced(&self) -> usize {
+        self.0.first_chunk::<4>().map_or(0, |length| 4 + u32::from_be_bytes(*length) as usize)
+    }
+
     /// The next whole frame.
     ///
     /// # Errors
@@ -164,6 +170,8 @@
     Known,
     /// Events before it are missing: the change log is asked again.
     Gap,
+    /// The list would name more nodes than one whole list can.
+    TooMany,
 }
 
 /// The list of nodes as the events so far have built it, and the number of the last one.
@@ -195,6 +203,10 @@
         if !event.full && event.number != self.last + 1 {
             return Applied::Gap;
         }
+        let new = |e: &&Entry| e.state != State::Gone && !self.nodes.contains_key(&e.id);
+        if !event.full && self.nodes.len() + event.entries.iter().filter(new).count() > RECORDS {
+            return Applied::TooMany;
+        }
         if event.full {
             self.nodes.clear();
         }
--- a/crates/changelog/src/tests.rs
+++ b/crates/changelog/src/tests.rs
@@ -66,6 +66,34 @@
     assert!(list.is_behind(5) && !list.is_behind(4));
 }
 
+/// No map grows without a bound, whatever a log tells: what would make the list too long is not taken at all.
+#[test]
+fn a_list_names_as_many_nodes_as_one_event_can_and_no_more() {
+    let ready = |ids: std::ops::Range<u32>| ids.map(|id| node(id, State::Ready)).collect::<Vec<_>>();
+    let (mut list, most) = (List::default(), RECORDS as u32);
+    assert_eq!(list.apply(&Event { number: 1, full: true, entries: ready(0..most) }), Applied::New);
+    let mut next =
+        Event { number: 2, full: false, entries: vec![node(0, State::Gone), node(most, State::Ready)] };
+    next.entries.push(node(most + 1, State::Ready));
+    assert_eq!(list.apply(&next), Applied::TooMany);
+    assert_eq!((list.last(), list.nodes().len(), list.nodes().contains_key(&0)), (1, RECORDS, true));
+    // Who is listed already, and who goes, needs no room.
+    next.entries = vec![node(1, State::Draining), node(2, State::Gone), node(3, State::Ready)];
+    assert_eq!((list.apply(&next), list.nodes().len()), (Applied::New, RECORDS - 1));
+}
+
+#[test]
+fn a_frame_under_way_tells_its_length_once_that_is_there() {
+    let bytes = frame(1, 1, &[node(1, State::Ready), node(2, State::Ready)]);
+    let mut decoder = Decoder::default();
+    for (i, byte) in bytes.iter().enumerate() {
+        assert_eq!(decoder.announced(), if i < 4 { 0 } else { bytes.len() });
+        assert_eq!(decoder.decode(), Ok(None));
+        decoder.feed(&[*byte]);
+    }
+    assert!(matches!(decoder.decode(), Ok(Some(Frame::Event(_)))) && decoder.announced() == 0);
+}
+
 #[test]
 fn lengths_kinds_and_states_that_lie_are_faults() {
     assert_eq!(all(&[&[0, 0, 0, 8]]), Err(Fault::Length));
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -1,49 +1,51 @@
-//! The client of the change log: catches up from the last event it has, and asks again when it breaks off or falls
-//! silent.
+//! The client of the change log: catches up from the last whole event it has, and asks again when it breaks off, falls
+//! silent, tells what is no event, or moves.
 
+use crate::backoff::{Backoff, Patience};
 use crate::shell::Shell;
 use pepperhook_changelog::{Applied, Decoder, Frame};
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
-/// The change log says something each second; after this it is asked again on a new connection.
-const SILENCE: Duration = Duration::from_millis(2_300);
 /// A connection to it is up within this time.
 const DIAL: Duration = Duration::from_millis(1_000);
-/// Between two tries, doubled up to the second one.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Follows the change log for as long as the front runs.
-pub async fn follow(shell: Rc<Shell>) {
-    let mut pause = FIRST_PAUSE;
+/// Follows the change log for as long as the front runs; the seed spreads what fronts do at one moment.
+pub async fn follow(shell: Rc<Shell>, seed: u64) {
+    let mut backoff = Backoff::new(seed);
     loop {
-        let before = shell.last_event();
-        let moved = shell.log_moved.notified();
-        let why = tokio::select! {
-            why = once(&shell) => why,
-            () = moved => {
+        // Whatever is waited for at the old address, an end, a dial or a pause, the new one is asked at once; and once:
+        // a move that is told before the address is read leaves nothing behind.
+        tokio::select! {
+            biased;
+            () = shell.log_moved.notified() => {
                 info!(event = "changelog-moved", "the change log is asked at its new address");
-                pause = FIRST_PAUSE;
-                continue;
+                backoff.reset();
             }
-        };
-        if shell.last_event() > before || why == "silent" {
-            pause = FIRST_PAUSE;
+            never = watch(&shell, &mut backoff) => match never {},
         }
+    }
+}
+
+/// Asks at the address that holds, again and again.
+async fn watch(shell: &Rc<Shell>, backoff: &mut Backoff) -> Infallible {
+    loop {
+        let began = Instant::now();
+        let why = once(shell).await;
         if shell.may_warn("changelog") {
             warn!(event = "changelog-broke", why, last = shell.last_event(), "the change log is asked again");
         }
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        tokio::time::sleep(backoff.pause(began.elapsed())).await;
     }
 }
 
-/// One connection to the change log; says why it ended.
+/// One connection to the change log; says why it ended. What was not told as a whole event changes nothing.
 async fn once(shell: &Rc<Shell>) -> &'static str {
     let address = shell.log_address();
     let Ok(Ok(mut stream)) = timeout(DIAL, TcpStream::connect(address)).await else { return "no connection" };
@@ -51,12 +53,14 @@
         return "no connection";
     }
     let (mut decoder, mut piece) = (Decoder::default(), vec![0u8; 8 * 1024]);
+    let (began, mut patience) = (Instant::now(), Patience::default());
     loop {
-        let n = match timeout(SILENCE, stream.read(&mut piece)).await {
+        let n = match timeout_at(began + patience.due(), stream.read(&mut piece)).await {
             Err(_) => return "silent",
             Ok(Ok(n)) if n > 0 => n,
             Ok(_) => return "ended",
         };
+        patience.heard(began.elapsed());
         decoder.feed(&piece[..n]);
         loop {
             match decoder.decode() {
@@ -67,12 +71,18 @@
                     }
                 }
                 Ok(Some(Frame::Event(event))) => {
-                    if shell.told(&event) == Applied::Gap {
-                        return "events are missing";
+                    match shell.told(&event) {
+                        Applied::New | Applied::Known => {}
+                        Applied::Gap => return "events are missing",
+                        Applied::TooMany => return "too many nodes",
                     }
+                    // A log that tells much at once holds nobody else up.
+                    yield_now().await;
                 }
                 Err(_) => return "noise",
             }
+            patience.whole(began.elapsed());
         }
+        patience.announced(decoder.announced());
     }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -3,6 +3,7 @@
 use crate::config::{Config, Start};
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
 use crate::peer::{End, Patience, Peer};
+use crate::roster::Roster;
 use crate::viewer::{self, FromViewer};
 use crate::{follow, node};
 use pepperhook_changelog::{Applied, Event, List};
@@ -56,6 +57,7 @@
     cells: u32,
     core: RefCell<Core>,
     list: RefCell<List>,
+    roster: RefCell<Roster>,
     start: Start,
     log: Cell<SocketAddr>,
     /// The change log has another address.
@@ -159,7 +161,8 @@
     }
 
     fn take_list(self: &Rc<Self>) {
-        let entries = self.list.borrow().nodes().values().copied().collect();
+        let now = self.clock.now() / 1_000_000;
+        let entries = self.roster.borrow_mut().usable(&self.list.borrow(), now);
         self.drive(Input::Nodes(entries));
     }
 
@@ -354,6 +357,7 @@
         sockets: config.sockets,
         core: RefCell::new(core),
         list: RefCell::new(config.list),
+        roster: RefCell::default(),
         start,
         log: Cell::new(config.changelog),
         log_moved: Notify::new(),
@@ -375,7 +379,7 @@
     let tasks = [
         spawn_local(shell.clone().accept(listener)),
         spawn_local(shell.clone().timers()),
-        spawn_local(follow::follow(shell.clone())),
+        spawn_local(follow::follow(shell.clone(), config.seed)),
     ];
     loop {
         tokio::select! {
