Platform: signals are heeded before the configuration is read, so that none kills a start

Seen: a front whose configuration is a pipe, held by the test, was sent SIGHUP (SIGTERM, SIGINT) while it read: the process was killed by the signal's default action. At fault: shell.rs, `run` registered signals after `Config::load` and `agrees` in crates/cli/src/platform.rs. Ruled out: SIGHUP, SIGTERM and SIGINT after `run` has begun (a second SIGTERM, SIGINT and SIGHUP after SIGTERM change nothing).

`Signals` is made first, within the runtime, and handed to `run`: what comes meanwhile is kept, a SIGHUP is taken afterwards, a SIGTERM is an orderly end with exit code 0. Between the start of the process and that moment the default action is still in force; nothing in the program can change that.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,11 +1,24 @@
 //! `platform`: the front end on the platform's protocol.
 
 use crate::{Exit, log, run};
-use pepperhook_platform::Config;
+use pepperhook_platform::{Config, Signals};
 use std::path::Path;
 
 /// Runs a front end until a signal.
 pub fn platform(path: Option<&Path>) -> Exit {
+    run(async {
+        // Before anything else: by default a SIGHUP, or a SIGTERM, would end a process that still reads its configuration.
+        match Signals::new() {
+            Ok(signals) => with_signals(path, signals).await,
+            Err(e) => {
+                eprintln!("pepperhook: signals cannot be had: {e}");
+                Exit::Failed
+            }
+        }
+    })
+}
+
+async fn with_signals(path: Option<&Path>, signals: Signals) -> Exit {
     let variable = |name: &str| std::env::var(name).ok();
     let path = match (path, variable("BALANCER_CONFIG")) {
         (Some(path), _) => path.to_owned(),
@@ -28,13 +41,11 @@
         return Exit::Usage;
     }
     log::start(pepperhook_settings::LogForm::Text, "info");
-    run(async move {
-        match pepperhook_platform::run(config, path).await {
-            Ok(()) => Exit::Done,
-            Err(e) => {
-                eprintln!("pepperhook: {e}");
-                Exit::Usage
-            }
+    match pepperhook_platform::run(config, path, signals).await {
+        Ok(()) => Exit::Done,
+        Err(e) => {
+            eprintln!("pepperhook: {e}");
+            Exit::Usage
         }
-    })
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,4 +18,4 @@
 mod words;
 
 pub use config::Config;
-pub use shell::run;
+pub use shell::{Signals, run};
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -329,14 +329,34 @@
     }
 }
 
+/// The signals that a front heeds. From here on none of them ends the process by itself: what comes before [`run`] asks
+/// for them is kept.
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Heeds them, within a runtime.
+    ///
+    /// # Errors
+    /// When the system does not give them.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs a front until SIGTERM or SIGINT, within a `LocalSet`.
 ///
 /// # Errors
-/// When its address cannot be listened on, its module does not take the settings, or signals cannot be had.
-pub async fn run(config: Config, path: PathBuf) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
+/// When its address cannot be listened on, or its module does not take the settings.
+pub async fn run(config: Config, path: PathBuf, signals: Signals) -> io::Result<()> {
+    let Signals { mut term, mut int, mut hup } = signals;
     let bounds = Bounds::for_descriptors(config.descriptors);
     let invalid = |e| io::Error::new(io::ErrorKind::InvalidInput, e);
     let core =
