Net: accepting tries again after 10 ms without a descriptor, and warns once in 5 s

Seen: with the limit on descriptors lowered under a running front, 39 lines "accept-failed" came in 2 s, and a newcomer could wait 50 ms after a descriptor was free. At fault: net/src/lib.rs, `accept`, a line for each try and one pause for each kind of error. A connection that has gone before it was accepted now costs no pause.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,7 +2,9 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -79,8 +81,13 @@
     }
 }
 
+/// Out of descriptors, accepting is tried again after so long: nobody tells when one is free.
+const TRY_AGAIN: Duration = Duration::from_millis(10);
+/// A warning that accepting fails comes once in so long.
+const WARN_EACH: Duration = Duration::from_secs(5);
+
 /// Accepts the next connection. Where that fails, out of descriptors most likely, it is tried again once some may be
-/// free.
+/// free; meanwhile connections wait in the listen queue.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
@@ -88,14 +95,28 @@
                 let _ = stream.set_nodelay(true);
                 return (stream, peer);
             }
+            // That one has gone meanwhile, and the next one does not wait for it.
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset) => {
+                tokio::task::yield_now().await;
+            }
             Err(e) => {
-                warn!(event = "accept-failed", "{e}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                warn_now_and_then(&e);
+                tokio::time::sleep(TRY_AGAIN).await;
             }
         }
     }
 }
 
+/// Says that accepting fails, unless that was said shortly before.
+pub fn warn_now_and_then(error: &std::io::Error) {
+    static LAST: Mutex<Option<Instant>> = Mutex::new(None);
+    let mut last = LAST.lock().unwrap_or_else(PoisonError::into_inner);
+    if last.is_none_or(|at| at.elapsed() >= WARN_EACH) {
+        *last = Some(Instant::now());
+        warn!(event = "accept-failed", "{error}");
+    }
+}
+
 /// After its sending side is shut a connection is read on for so long, and for so many bytes, so that what was written
 /// is not lost to a reset (RFC 9112, 9.6).
 pub const LINGER: Duration = Duration::from_millis(500);
