Platform: an orderly end, and evictions that take nothing which is under way

Seen, each by a forced test on the real program: - The process was stopped from shortly after SIGTERM until its end had come: whoever had a connection in the listen queue by then, or had written on an open one, was reset without an answer. - Half a request before SIGTERM, its rest 1.1 s after: the connection was closed without an answer. - Viewers' and nodes' connections were ended by the end of the process, so that a byte on its way reset them. At fault for these: shell.rs, `stop` (looked at what was to be written only, aborted `accept`, and returned). - At the bound on viewers a connection with half a message was taken for silent and closed; with open requests on all places newcomers over nine eighths were closed unheard. At fault: shell.rs `accept`, requests.rs `crowded`. Ruled out: a viewer that does not read takes nobody's answer along; idle clients, twice as many as descriptors, keep neither dials, the change log nor clients away (41 descriptors of 64 at most); starts without discovery.

`shell/leave.rs`: after the open requests, the listen queue is taken in until nobody waits there, whoever has written a part of a message or bytes that are unread is heard out (1.5 s after the last moment in which requests may come at most), then connections to nodes and to viewers are shut and read on, 0.1 s in all, and all is over 25 ms before SIGKILL may come. What ends because the front does tells the core nothing of a node, and nothing is dialled. `shell/arrivals.rs`: who gives way has nothing open, nothing unread on the socket, no half message, nothing unwritten, and has been quiet for 20 ms; silent ones first, the longest quiet. Where nobody can, an eighth more are taken in, and then newcomers wait in the listen queue. The core names who may go (`may_give_way`), the shell looks at the sockets.

The core test on crowds asked for the victim by `Crowded`; it asks now for those who may go, in order, and that neither one with a session nor one with an open request goes, also when it is named.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -124,6 +124,13 @@
     carries: usize,
 }
 
+impl Conn {
+    /// It has no open request, and no session came on it whose end is to be told there.
+    fn is_spare(&self) -> bool {
+        self.open.is_empty() && self.carries == 0
+    }
+}
+
 /// An ended id.
 struct Ended {
     at: Time,
@@ -210,7 +217,7 @@
             Input::Ask(conn, ask) => self.ask(now, conn, ask, out),
             Input::End(conn, id) => self.end(now, conn, id, out),
             Input::Gone(conn) => self.gone(now, conn, out),
-            Input::Crowded => self.crowded(out),
+            Input::GiveWay(conn) => self.give_way(conn, out),
             Input::LinkUp(link) => self.link_up(now, link, out),
             Input::LinkFailed(link, how) => self.link_failed(now, link, how, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
--- a/crates/platform/src/core/requests.rs
+++ b/crates/platform/src/core/requests.rs
@@ -138,13 +138,18 @@
         }
     }
 
-    /// Makes room for another viewer's connection: one that never said anything goes first, else one that carries
-    /// nothing; the oldest of them.
-    pub(super) fn crowded(&mut self, out: &mut Vec<Effect>) {
-        let idle = |c: &Conn| c.open.is_empty() && c.carries == 0;
-        let silent = self.conns.iter().find(|(_, c)| !c.good && idle(c));
-        let victim = silent.or_else(|| self.conns.iter().find(|(_, c)| idle(c))).map(|(id, _)| *id);
-        if let Some(conn) = victim {
+    /// Connections that may give way to another viewer's: who never said anything, and, if none of them can go, who
+    /// carries nothing. None has an open request.
+    #[must_use]
+    pub fn may_give_way(&self) -> [Vec<ConnId>; 2] {
+        let idle = self.conns.iter().filter(|(_, c)| c.is_spare());
+        let (good, silent): (Vec<_>, Vec<_>) = idle.partition(|(_, c)| c.good);
+        [silent, good].map(|of| of.into_iter().map(|(id, _)| *id).collect())
+    }
+
+    /// Ends a connection of those that may give way.
+    pub(super) fn give_way(&mut self, conn: ConnId, out: &mut Vec<Effect>) {
+        if self.conns.get(&conn).is_some_and(Conn::is_spare) {
             self.conns.remove(&conn);
             out.push(Effect::Hang(conn));
         }
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -128,8 +128,8 @@
     End(ConnId, SessionId),
     /// A viewer's connection is gone.
     Gone(ConnId),
-    /// There are as many viewers' connections as there may be.
-    Crowded,
+    /// There are as many viewers' connections as there may be, and this one gives way.
+    GiveWay(ConnId),
     /// A connection to a node is up.
     LinkUp(LinkId),
     /// A dial ended without a connection.
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -5,6 +5,7 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::ops::ControlFlow;
 use tokio::net::TcpStream;
@@ -53,6 +54,10 @@
     half: Cell<Half>,
     /// The queue ran over.
     over: Cell<bool>,
+    /// Bytes were read that are no whole message yet, or one that is not taken yet.
+    within: Cell<bool>,
+    /// When something last came, or the connection did.
+    heard: Cell<Instant>,
 }
 
 /// How long a connection may say nothing.
@@ -73,6 +78,8 @@
             closing: Cell::new(false),
             half: Cell::new(Half::Open),
             over: Cell::new(false),
+            within: Cell::new(false),
+            heard: Cell::new(Instant::now()),
         }
     }
 
@@ -181,6 +188,8 @@
                     if self.closing.get() {
                         continue;
                     }
+                    self.heard.set(Instant::now());
+                    self.within.set(true);
                     decoder.feed(&piece[..n]);
                     let mut taken = 0;
                     loop {
@@ -199,6 +208,7 @@
                             tokio::task::yield_now().await;
                         }
                     }
+                    self.within.set(decoder.is_within());
                     due = match (decoder.is_within(), due) {
                         (true, Some(at)) if !heard => Some(at),
                         (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
@@ -210,4 +220,19 @@
             }
         }
     }
+
+    /// Nothing is under way on it: all that was said is written, and nothing came that was not taken, be it half a
+    /// message or bytes that nobody has read.
+    pub fn is_idle(&self) -> bool {
+        if self.within.get() || self.is_writing() {
+            return false;
+        }
+        // The machine is asked: the runtime may not have heard of the latest bytes yet. An end, or an error, is no byte.
+        !matches!(SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+    }
+
+    /// When something last came, or the connection did.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,5 +1,8 @@
 //! Carries out what the core says: sockets, timers, the change log, signals. It decides nothing.
 
+mod arrivals;
+mod leave;
+
 use crate::config::Config;
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
 use crate::peer::{End, Patience, Peer};
@@ -31,20 +34,7 @@
 const LINGERING: usize = 16;
 /// Messages that cannot be used, on one connection, before it is closed.
 const BAD_WORDS: u32 = 4;
-/// After SIGTERM requests come for 0.6 s at most. One that comes later than this might be open when SIGKILL comes, and
-/// is refused at once (the protocol's figures on planned restarts).
-const STILL_COMING: Duration = Duration::from_millis(700);
-/// The front does not end earlier, since it may have read late what came in time.
-const EARLIEST: Duration = Duration::from_millis(900);
-/// SIGKILL comes no earlier after SIGTERM than the longest deadline, counted as so much where it is longer,
-const LONGEST: Duration = Duration::from_millis(3_000);
-/// and so much more.
-const KILLED: Duration = Duration::from_millis(700);
-/// So long before it everyone has an answer: what is written then has the time to leave.
-const BEFORE: Duration = Duration::from_millis(60);
-/// The last words are waited for so long.
-const LAST_WORDS: Duration = Duration::from_millis(40);
-/// Between two looks at whether they are written.
+/// Between two looks at what nobody tells of.
 const LOOK: Duration = Duration::from_millis(5);
 /// Warnings of one kind come once in so long.
 const WARN_EACH: Duration = Duration::from_secs(5);
@@ -64,6 +54,8 @@
     most_viewers: usize,
     /// Connections that are being ended in order.
     lingering: Cell<usize>,
+    /// The front is ending its connections, the last thing that it does.
+    parting: Cell<bool>,
     next: Cell<u64>,
     warned: RefCell<HashMap<&'static str, Instant>>,
     wake: Notify,
@@ -74,6 +66,14 @@
     /// Hands the core an input and carries out what it answers.
     fn drive(self: &Rc<Self>, input: Input) {
         trace!(event = "input", ?input);
+        let of_link = matches!(
+            input,
+            Input::LinkUp(_) | Input::LinkFailed(..) | Input::LinkDown(_) | Input::LinkShut(_)
+        );
+        if self.parting.get() && of_link {
+            // What ends because the front does tells nothing of a node, and no other connection is to take its place.
+            return self.idle.notify_one();
+        }
         let mut out = Vec::new();
         self.core.borrow_mut().handle(self.clock.now(), input, &mut out);
         self.carry_out(out);
@@ -93,6 +93,8 @@
                         peer.close();
                     }
                 }
+                // A node would tell what it has to tell to a process that ends.
+                Effect::Dial(..) if self.parting.get() => {}
                 Effect::Dial(link, address) => {
                     trace!(event = "dial", link = link.0, %address);
                     spawn_local(self.clone().link(link, address));
@@ -164,33 +166,6 @@
 
     // ---- connections ---------------------------------------------------------------------------
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let (stream, peer) = pepperhook_net::accept(&listener).await;
-            if self.viewers.borrow().len() >= self.most_viewers {
-                self.drive(Input::Crowded);
-                if self.may_warn("crowded") {
-                    warn!(
-                        event = "crowded",
-                        most = self.most_viewers,
-                        "a viewer's connection was closed for another"
-                    );
-                }
-                // The one that gives way leaves as soon as its task runs; the new one is kept out only if none did.
-                tokio::task::yield_now().await;
-                if self.viewers.borrow().len() >= self.most_viewers * 9 / 8 {
-                    continue;
-                }
-            }
-            let id = ConnId(self.next.replace(self.next.get() + 1));
-            // Counted at once: a burst is accepted before the first of its tasks runs.
-            let connection = Rc::new(Peer::new(stream));
-            self.viewers.borrow_mut().insert(id, connection.clone());
-            self.drive(Input::Opened(id, peer.ip()));
-            spawn_local(self.clone().viewer(id, connection));
-        }
-    }
-
     /// A viewer's connection to its end.
     async fn viewer(self: Rc<Self>, id: ConnId, peer: Rc<Peer>) {
         let mut bad = 0;
@@ -220,9 +195,8 @@
                 peer.send(&pepperhook_rtsp::Message::response(400));
             }
             // An orderly end holds a descriptor; a flood of bad connections may not hold them all.
-            if let (Ok(peer), true) =
-                (Rc::try_unwrap(peer), self.lingering.get() < self.most_viewers / LINGERING)
-            {
+            let may_linger = self.parting.get() || self.lingering.get() < self.most_viewers / LINGERING;
+            if let (Ok(peer), true) = (Rc::try_unwrap(peer), may_linger) {
                 self.lingering.set(self.lingering.get() + 1);
                 pepperhook_net::linger(&mut peer.into_stream(), 0).await;
                 self.lingering.set(self.lingering.get() - 1);
@@ -289,32 +263,6 @@
         }
     }
 
-    /// Bytes wait for a socket.
-    fn is_writing(&self) -> bool {
-        let waits = |p: &Rc<Peer>| p.is_writing();
-        self.viewers.borrow().values().any(waits) || self.nodes.borrow().values().any(waits)
-    }
-
-    /// Waits until nobody is owed anything, until this moment at the most.
-    async fn settled(&self, until: Instant) {
-        while Instant::now() < until && (self.is_writing() || !self.core.borrow().is_quiet()) {
-            let _ = tokio::time::timeout(LOOK, self.idle.notified()).await;
-        }
-    }
-
-    /// From SIGTERM to the end: serves on, then refuses what comes too late, and ends as soon as nobody is owed anything;
-    /// shortly before SIGKILL may come everyone gets an answer.
-    async fn stop(self: Rc<Self>, longest: Duration) {
-        let began = Instant::now();
-        let last = began + longest.min(LONGEST) + (KILLED - BEFORE);
-        tokio::time::sleep_until(last.min(began + STILL_COMING)).await;
-        self.drive(Input::Closing);
-        tokio::time::sleep_until(last.min(began + EARLIEST)).await;
-        self.settled(last).await;
-        self.drive(Input::Last);
-        self.settled(Instant::now() + LAST_WORDS).await;
-    }
-
     /// Takes what may change of the configuration while the front runs: where the change log is.
     fn reload(&self, path: &Path) {
         match Config::load(path) {
@@ -374,6 +322,7 @@
         nodes: RefCell::default(),
         most_viewers: bounds.viewers,
         lingering: Cell::new(0),
+        parting: Cell::new(false),
         next: Cell::new(1),
         warned: RefCell::default(),
         wake: Notify::new(),
@@ -383,13 +332,12 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| io::Error::new(e.kind(), format!("'listen' {}: {e}", config.listen)))?;
+    let listener = Rc::new(listener);
     let address = listener.local_addr()?;
     info!(event = "listening", %address, nodes = shell.list.borrow().nodes().len(), "ready");
-    let tasks = [
-        spawn_local(shell.clone().accept(listener)),
-        spawn_local(shell.clone().timers()),
-        spawn_local(follow::follow(shell.clone())),
-    ];
+    let accepting = spawn_local(shell.clone().accept(listener.clone()));
+    let timers = spawn_local(shell.clone().timers());
+    let following = spawn_local(follow::follow(shell.clone()));
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -398,7 +346,7 @@
         }
     }
     info!(event = "stopping", open = shell.core.borrow().open(), standing = shell.core.borrow().standing());
-    let end = shell.clone().stop(longest);
+    let end = shell.clone().stop(longest, accepting, timers, listener);
     tokio::pin!(end);
     loop {
         tokio::select! {
@@ -407,7 +355,7 @@
             _ = hup.recv() => shell.reload(&path),
         }
     }
-    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    following.abort();
     info!(event = "stopped", "the front has stopped");
     Ok(())
 }
