Test: a release that waits for a dial at SIGTERM reaches its node before the front ends

No fault was found: the node's listen queue is full, so that the dial is under way when SIGTERM comes, and the queue is emptied after "stopping" is seen. With `is_quiet` blind to words that wait for a connection the test fails (no release within 5 s).

--- a/crates/cli/tests/platform_drain.rs
+++ b/crates/cli/tests/platform_drain.rs
@@ -426,6 +426,63 @@
     panic!("the front was over each time before its end of the connection was read");
 }
 
+/// A node ends its connection and takes no other, so that the front's dial is under way: its listen queue is full. The
+/// viewer's release waits for that dial when SIGTERM comes, and reaches the node before the front ends.
+#[test]
+fn a_release_that_waits_for_a_dial_reaches_its_node_before_the_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let mut v = config(&[address], change_log(Vec::new()).0);
+    v["settings"]["limits"]["probes"] = serde_json::json!(false);
+    v["settings"]["limits"]["dial_timeout_ns"] = serde_json::json!(3_000_000_000u64);
+    let mut front = front(&v);
+    let id = "00000000000000a1";
+    let mut viewer = front.connect();
+    viewer.write_all(&set_up(id)).expect("writes");
+    let (mut served, _) = listener.accept().expect("the front dials");
+    assert!(read(&mut served).expect("a message").head.starts_with("SETUP"));
+    let fields = [("CSeq", "1"), ("Session", id)];
+    served.write_all(&message("RTSP/1.0 200 OK", &fields, b"an answer\r\n")).expect("writes");
+    assert!(read(&mut viewer).expect("an answer").head.starts_with("RTSP/1.0 200"));
+    let mut queue = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, ms(200)) {
+        queue.push(stream);
+        assert!(queue.len() < 5_000, "the listen queue has no end");
+    }
+    drop(served);
+    let end =
+        message("TEARDOWN rtsp://media/00000000000000f1 RTSP/1.0", &[("CSeq", "2"), ("Session", id)], b"");
+    viewer.write_all(&end).expect("writes");
+    assert_eq!(read(&mut viewer).expect("it is heard").field("CSeq"), Some("2"));
+    front.signal("SIGTERM");
+    wait(&front.lines, "stopping");
+    drop(queue);
+    let (tell, told) = channel();
+    spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), tell) = (stream, tell.clone()) else { return };
+            spawn(move || {
+                while let Ok(m) = read(&mut stream) {
+                    if tell.send(m).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let is_release = |m: &Raw| m.head.starts_with("TEARDOWN") && m.field("Session") == Some(id);
+    let give_up = Instant::now() + 5 * SECOND;
+    let release = loop {
+        let left = give_up.saturating_duration_since(Instant::now());
+        match told.recv_timeout(left).expect("the release reaches the node") {
+            m if is_release(&m) => break m,
+            _ => {}
+        }
+    };
+    assert_eq!(release.field("Reason"), Some("cause=31"));
+    assert_eq!(ends(&mut front.child), Some(0));
+}
+
 // ---- starts ------------------------------------------------------------------------------------
 
 /// A port that is free, to start on it again and again.
