Platform: a message that has begun has its own time, not that of one before it

Seen: a connection each of whose pieces ended within the next message was closed after 2.0 s, though every message was whole within some milliseconds; what was open on it was given up. At fault: peer.rs, `pump` kept the moment by which the first message was due (`(true, at) => at.or_else(..)`) for as long as the decoder held a part of any message.

When a whole message was taken from what was read, the one that has begun behind it has its own time.

Both ways: a_viewer_whose_pieces_... fails without this ("no answer after 2.008 s"), passes with it.

--- a/crates/cli/tests/platform_floods.rs
+++ b/crates/cli/tests/platform_floods.rs
@@ -223,6 +223,29 @@
     println!("a place among viewers that do not read was free after {:?}", began.elapsed());
 }
 
+/// Each message is whole soon, and each piece that comes ends within the next one: the connection is in order for as long
+/// as that goes on.
+#[test]
+fn a_viewer_whose_pieces_always_end_within_a_message_keeps_its_connection() {
+    let node = node();
+    let front = front(&config(&[node.address], change_log(Vec::new()).0));
+    let mut viewer = front.connect();
+    let whole = ping();
+    let (first, second) = whole.split_at(20);
+    let mut piece = first.to_vec();
+    let began = Instant::now();
+    // Longer than the time for a first word, and for one message.
+    while began.elapsed() < 3 * SECOND {
+        viewer.write_all(&piece).unwrap_or_else(|e| panic!("after {:?}: {e}", began.elapsed()));
+        if piece.len() > first.len() {
+            read(&mut viewer).unwrap_or_else(|e| panic!("no answer after {:?}: {e}", began.elapsed()));
+        }
+        piece = [second, first].concat();
+    }
+    viewer.write_all(second).expect("writes");
+    assert!(read(&mut viewer).expect("an answer").head.contains(" 200 "));
+}
+
 /// Every place has an open request: newcomers wait where the machine has accepted them, none is closed, and all are
 /// answered as places become free.
 #[test]
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -219,6 +219,8 @@
                     }
                     self.within.set(decoder.is_within());
                     due = match (decoder.is_within(), due) {
+                        // Another message than the one that was waited for: it has its own time.
+                        (true, _) if taken > 0 => Some(Instant::now() + patience.message),
                         (true, Some(at)) if !heard => Some(at),
                         (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
                         (false, _) if heard => None,
