Join drains, exits and evictions; a set-up counts for the tenant that it names

Brings signals heeded from the start, an end that resets nobody, and evictions that take nothing under way. Found in joining: a pipe as settings file was refused at the start too, which two tests of the start by a pipe met by waiting for ever; a pipe is refused on reload alone, where others are served. Tenants: viewer.rs gave every wish tenant 0; on a site with three tenants each of 1,452 set-ups seen on the wire carried P-Customer with a name of the settings. It is read; a name that the settings lack is refused as an unknown class is. The module decides nothing by it.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -9,6 +9,7 @@
 use std::hash::{Hash, Hasher};
 use std::io::Read;
 use std::net::SocketAddr;
+use std::os::unix::fs::FileTypeExt;
 use std::path::Path;
 
 /// Bytes of the file at most: a list of some 50,000 nodes.
@@ -101,9 +102,10 @@
     ConfigError { file: path.display().to_string(), what: what.chars().map(plain).take(LINE).collect() }
 }
 
-fn read(path: &Path) -> Result<Vec<u8>, String> {
-    // One that waits for a writer would hold up whoever is served meanwhile.
-    if !std::fs::metadata(path).map_err(|e| e.to_string())?.is_file() {
+fn read(path: &Path, waits: bool) -> Result<Vec<u8>, String> {
+    let kind = std::fs::metadata(path).map_err(|e| e.to_string())?.file_type();
+    // One that waits for a writer would hold up whoever is served meanwhile; at the start nobody is.
+    if !(kind.is_file() || (waits && kind.is_fifo())) {
         return Err("is no file".to_owned());
     }
     let file = std::fs::File::open(path).map_err(|e| e.to_string())?;
@@ -116,12 +118,16 @@
 }
 
 impl Config {
-    /// Reads the file.
+    /// Reads the file at the start; a pipe is waited for.
     ///
     /// # Errors
     /// Names the file and the field that is missing or wrong.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        read(path).and_then(|raw| object(&raw)).and_then(parse).map_err(|what| fault(path, &what))
+        Self::of(path, true)
+    }
+
+    fn of(path: &Path, waits: bool) -> Result<Self, ConfigError> {
+        read(path, waits).and_then(|raw| object(&raw)).and_then(parse).map_err(|what| fault(path, &what))
     }
 
     /// The descriptors that the process may hold by the file and by the system's own limit on it, whichever is less.
@@ -194,7 +200,7 @@
     /// # Errors
     /// Names the file and the field that is missing, wrong, or another than at the start.
     pub fn reload(&self, path: &Path) -> Result<Reload, ConfigError> {
-        let next = Config::load(path)?;
+        let next = Config::of(path, false)?;
         match self.other(&next) {
             Some(field) => {
                 Err(fault(path, &format!("'{field}' differs from that of the start: another's file")))
--- a/crates/platform/src/core/tests/checker.rs
+++ b/crates/platform/src/core/tests/checker.rs
@@ -172,7 +172,7 @@
                 let ready = |e: &&Entry| e.state == State::Ready;
                 self.ready = entries.iter().filter(ready).map(|e| e.address.into()).collect();
             }
-            Input::Crowded
+            Input::GiveWay(_)
             | Input::LinkUp(_)
             | Input::Waits(_)
             | Input::Blocked(_)
--- a/crates/platform/src/core/tests/customers.rs
+++ b/crates/platform/src/core/tests/customers.rs
@@ -148,3 +148,24 @@
     assert!(sum.get()[..3].iter().all(|n| *n > 200), "{:?}", sum.get());
     assert!(sum.get()[3..].iter().all(|n| *n > 50), "{:?}", sum.get());
 }
+
+/// Every wish counted for the first tenant, whoever asked.
+#[test]
+fn a_wish_counts_for_the_tenant_that_its_set_up_names() {
+    let mut v = settings();
+    let tenant = |v: &Value, name: Option<&str>| {
+        let known = pepperhook_parameters::sockets(v).expect("settings");
+        let m = good_wish(&mut StdRng::seed_from_u64(1), v, 1);
+        let m = name.map_or(m.clone(), |name| m.with("P-Customer", name));
+        match read(&m, &known, 3) {
+            Ok(FromViewer::Ask(ask)) => Some(ask.wish.tenant.0),
+            _ => None,
+        }
+    };
+    assert_eq!(tenant(&v, Some("anyone")), Some(0), "a site without tenants");
+    v["tenants"] = json!([{"name": "first", "quota_per_s": 1.0}, {"name": "second", "quota_per_s": 2.0}]);
+    assert_eq!(tenant(&v, Some("second")), Some(1));
+    assert_eq!(tenant(&v, Some("first")), Some(0));
+    assert_eq!(tenant(&v, Some("third")), None, "no other's");
+    assert_eq!(tenant(&v, None), Some(0));
+}
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -135,8 +135,8 @@
     /// The connection to the node takes no bytes now, so that a set-up would be sent at some later moment, or the node
     /// has ended it.
     Blocked(SessionId),
-    /// There are as many viewers' connections as there may be.
-    Crowded,
+    /// There are as many viewers' connections as there may be, and this one gives way.
+    GiveWay(ConnId),
     /// A connection to a node is up.
     LinkUp(LinkId),
     /// A dial ended without a connection.
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::ops::ControlFlow;
 use tokio::net::TcpStream;
@@ -79,6 +80,10 @@
     half: Cell<Half>,
     /// The queue ran over.
     over: Cell<bool>,
+    /// When something last came, or the connection did.
+    heard: Cell<Instant>,
+    /// When the machine last took of what waits, or something began to wait.
+    moved: Cell<Instant>,
 }
 
 /// How long a connection may say nothing.
@@ -100,6 +105,8 @@
             closing: Cell::new(false),
             half: Cell::new(Half::Open),
             over: Cell::new(false),
+            heard: Cell::new(Instant::now()),
+            moved: Cell::new(Instant::now()),
         }
     }
 
@@ -116,6 +123,9 @@
             }
         }
         if !bytes.is_empty() {
+            if queue.is_empty() {
+                self.moved.set(Instant::now());
+            }
             queue.extend_from_slice(&bytes);
             if queue.len() > QUEUE {
                 self.over.set(true);
@@ -157,7 +167,10 @@
         while !queue.is_empty() {
             match self.stream.try_write(&queue) {
                 Ok(0) => return false,
-                Ok(n) => queue.advance(n),
+                Ok(n) => {
+                    queue.advance(n);
+                    self.moved.set(Instant::now());
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(_) => return false,
             }
@@ -184,6 +197,7 @@
                 Err(_) => return inbox.end = Some(End::Gone),
             };
             inbox.bytes += n;
+            self.heard.set(Instant::now());
             inbox.decoder.feed(&piece[..n]);
             loop {
                 match inbox.decoder.decode() {
@@ -242,6 +256,8 @@
             let within = self.inbox.borrow().decoder.is_within();
             due = match (within, due) {
                 _ if closing => due,
+                // Another message than the one that was waited for: it has its own time.
+                (true, _) if taken > 0 => Some(Instant::now() + patience.message),
                 (true, Some(at)) if !heard => Some(at),
                 (true, at) => at.or_else(|| Some(Instant::now() + patience.message)),
                 (false, _) if heard => None,
@@ -287,4 +303,25 @@
             }
         }
     }
+
+    /// Nothing is under way on it: all that was said is written, and nothing came that was not taken, be it half a
+    /// message or bytes that nobody has read.
+    pub fn is_idle(&self) -> bool {
+        let inbox = self.inbox.borrow();
+        if inbox.decoder.is_within() || !inbox.messages.is_empty() || self.is_writing() {
+            return false;
+        }
+        // The machine is asked: the runtime may not have heard of the latest bytes yet. An end, or an error, is no byte.
+        !matches!(SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]), Ok(1..))
+    }
+
+    /// The machine has taken nothing of what waits for so long: the other side does not read.
+    pub fn is_stuck(&self, long: Duration) -> bool {
+        self.is_writing() && self.moved.get().elapsed() >= long
+    }
+
+    /// When something last came, or the connection did.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -1,5 +1,8 @@
 //! Carries out what the core says: sockets, timers, the change log, signals. It decides nothing.
 
+mod arrivals;
+mod leave;
+
 use crate::config::{Config, Start};
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
 use crate::peer::{End, Patience, Peer, Word};
@@ -19,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -33,20 +36,9 @@
 const LINGERING: usize = 16;
 /// Messages that cannot be used, on one connection, before it is closed.
 const BAD_WORDS: u32 = 4;
-/// After SIGTERM requests come for 0.6 s at most. One that comes later than this might be open when SIGKILL comes, and
-/// is refused at once (the protocol's figures on planned restarts).
-const STILL_COMING: Duration = Duration::from_millis(700);
-/// The front does not end earlier, since it may have read late what came in time.
-const EARLIEST: Duration = Duration::from_millis(900);
-/// SIGKILL comes no earlier after SIGTERM than the longest deadline, counted as so much where it is longer,
-const LONGEST: Duration = Duration::from_millis(3_000);
-/// and so much more.
-const KILLED: Duration = Duration::from_millis(700);
-/// So long before it everyone has an answer: what is written then has the time to leave.
-const BEFORE: Duration = Duration::from_millis(60);
-/// The last words are waited for so long.
-const LAST_WORDS: Duration = Duration::from_millis(40);
-/// Between two looks at whether they are written.
+/// An answer later than so long after its time is lost anyway (the protocol's figures).
+const LATE: Duration = Duration::from_millis(500);
+/// Between two looks at what nobody tells of.
 const LOOK: Duration = Duration::from_millis(5);
 /// Warnings of one kind come once in so long.
 const WARN_EACH: Duration = Duration::from_secs(5);
@@ -64,10 +56,16 @@
     /// The change log has another address.
     pub log_moved: Notify,
     viewers: RefCell<HashMap<ConnId, Rc<Peer>>>,
+    /// A viewer's connection that waits for a place.
+    newcomer: RefCell<Option<(TcpStream, SocketAddr)>>,
     nodes: RefCell<HashMap<LinkId, Rc<Peer>>>,
     most_viewers: usize,
+    /// An answer is past its time so long after it could be written first, whatever its request was.
+    past: Duration,
     /// Connections that are being ended in order.
     lingering: Cell<usize>,
+    /// The front is ending its connections, the last thing that it does.
+    parting: Cell<bool>,
     next: Cell<u64>,
     warned: RefCell<HashMap<&'static str, Instant>>,
     wake: Notify,
@@ -78,6 +76,14 @@
     /// Hands the core an input and carries out what it answers.
     fn drive(self: &Rc<Self>, input: Input) {
         trace!(event = "input", ?input);
+        let of_link = matches!(
+            input,
+            Input::LinkUp(_) | Input::LinkFailed(..) | Input::LinkDown(_) | Input::LinkShut(_)
+        );
+        if self.parting.get() && of_link {
+            // What ends because the front does tells nothing of a node, and no other connection is to take its place.
+            return self.idle.notify_one();
+        }
         let mut out = Vec::new();
         self.core.borrow_mut().handle(self.clock.now(), input, &mut out);
         self.carry_out(out);
@@ -98,6 +104,8 @@
                     }
                 }
                 Effect::Look(conn, link, id) => self.look(conn, link, id),
+                // A node would tell what it has to tell to a process that ends.
+                Effect::Dial(..) if self.parting.get() => {}
                 Effect::Dial(link, address) => {
                     trace!(event = "dial", link = link.0, %address);
                     spawn_local(self.clone().link(link, address));
@@ -187,33 +195,6 @@
 
     // ---- connections ---------------------------------------------------------------------------
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let (stream, peer) = pepperhook_net::accept(&listener).await;
-            if self.viewers.borrow().len() >= self.most_viewers {
-                self.drive(Input::Crowded);
-                if self.may_warn("crowded") {
-                    warn!(
-                        event = "crowded",
-                        most = self.most_viewers,
-                        "a viewer's connection was closed for another"
-                    );
-                }
-                // The one that gives way leaves as soon as its task runs; the new one is kept out only if none did.
-                tokio::task::yield_now().await;
-                if self.viewers.borrow().len() >= self.most_viewers * 9 / 8 {
-                    continue;
-                }
-            }
-            let id = ConnId(self.next.replace(self.next.get() + 1));
-            // Counted at once: a burst is accepted before the first of its tasks runs.
-            let connection = Rc::new(Peer::new(stream));
-            self.viewers.borrow_mut().insert(id, connection.clone());
-            self.drive(Input::Opened(id, peer.ip()));
-            spawn_local(self.clone().viewer(id, connection));
-        }
-    }
-
     /// A viewer's connection to its end.
     async fn viewer(self: Rc<Self>, id: ConnId, peer: Rc<Peer>) {
         let mut bad = 0;
@@ -247,8 +228,8 @@
             peer.send(&pepperhook_rtsp::Message::response(400));
         }
         // An orderly end holds a descriptor; a flood of bad connections may not hold them all.
-        if let (Ok(peer), true) = (Rc::try_unwrap(peer), self.lingering.get() < self.most_viewers / LINGERING)
-        {
+        let may_linger = self.parting.get() || self.lingering.get() < self.most_viewers / LINGERING;
+        if let (Ok(peer), true) = (Rc::try_unwrap(peer), may_linger) {
             self.lingering.set(self.lingering.get() + 1);
             let _ = tokio::time::timeout(pepperhook_net::LINGER, peer.written()).await;
             pepperhook_net::linger(&mut peer.into_stream(), 0).await;
@@ -321,32 +302,6 @@
         }
     }
 
-    /// Bytes wait for a socket.
-    fn is_writing(&self) -> bool {
-        let waits = |p: &Rc<Peer>| p.is_writing();
-        self.viewers.borrow().values().any(waits) || self.nodes.borrow().values().any(waits)
-    }
-
-    /// Waits until nobody is owed anything, until this moment at the most.
-    async fn settled(&self, until: Instant) {
-        while Instant::now() < until && (self.is_writing() || !self.core.borrow().is_quiet()) {
-            let _ = tokio::time::timeout(LOOK, self.idle.notified()).await;
-        }
-    }
-
-    /// From SIGTERM to the end: serves on, then refuses what comes too late, and ends as soon as nobody is owed anything;
-    /// shortly before SIGKILL may come everyone gets an answer.
-    async fn stop(self: Rc<Self>, longest: Duration) {
-        let began = Instant::now();
-        let last = began + longest.min(LONGEST) + (KILLED - BEFORE);
-        tokio::time::sleep_until(last.min(began + STILL_COMING)).await;
-        self.drive(Input::Closing);
-        tokio::time::sleep_until(last.min(began + EARLIEST)).await;
-        self.settled(last).await;
-        self.drive(Input::Last);
-        self.settled(Instant::now() + LAST_WORDS).await;
-    }
-
     /// Takes what may change of the configuration while the front runs, where the change log is, or nothing of it.
     fn reload(&self, path: &Path) {
         match self.start.reload(path) {
@@ -365,14 +320,34 @@
     }
 }
 
+/// The signals that a front heeds. From here on none of them ends the process by itself: what comes before [`run`] asks
+/// for them is kept.
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Heeds them, within a runtime.
+    ///
+    /// # Errors
+    /// When the system does not give them.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs a front until SIGTERM or SIGINT, within a `LocalSet`.
 ///
 /// # Errors
-/// When its address cannot be listened on, its module does not take the settings, or signals cannot be had.
-pub async fn run(config: Config, path: PathBuf) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
+/// When its address cannot be listened on, or its module does not take the settings.
+pub async fn run(config: Config, path: PathBuf, signals: Signals) -> io::Result<()> {
+    let Signals { mut term, mut int, mut hup } = signals;
     let invalid = |e| io::Error::new(io::ErrorKind::InvalidInput, e);
     let bounds = Bounds::for_descriptors(config.descriptors().map_err(io::Error::other)?);
     let core =
@@ -390,9 +365,12 @@
         log: Cell::new(config.changelog),
         log_moved: Notify::new(),
         viewers: RefCell::default(),
+        newcomer: RefCell::default(),
         nodes: RefCell::default(),
         most_viewers: bounds.viewers,
+        past: longest + LATE,
         lingering: Cell::new(0),
+        parting: Cell::new(false),
         next: Cell::new(1),
         warned: RefCell::default(),
         wake: Notify::new(),
@@ -402,13 +380,12 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| io::Error::new(e.kind(), format!("'listen' {}: {e}", config.listen)))?;
+    let listener = Rc::new(listener);
     let address = listener.local_addr()?;
     info!(event = "listening", %address, nodes = shell.list.borrow().nodes().len(), "ready");
-    let tasks = [
-        spawn_local(shell.clone().accept(listener)),
-        spawn_local(shell.clone().timers()),
-        spawn_local(follow::follow(shell.clone(), config.seed)),
-    ];
+    let accepting = spawn_local(shell.clone().accept(listener.clone()));
+    let timers = spawn_local(shell.clone().timers());
+    let following = spawn_local(follow::follow(shell.clone(), config.seed));
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -417,7 +394,7 @@
         }
     }
     info!(event = "stopping", open = shell.core.borrow().open(), standing = shell.core.borrow().standing());
-    let end = shell.clone().stop(longest);
+    let end = shell.clone().stop(longest, accepting, timers, listener);
     tokio::pin!(end);
     loop {
         tokio::select! {
@@ -426,7 +403,7 @@
             _ = hup.recv() => shell.reload(&path),
         }
     }
-    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    following.abort();
     info!(event = "stopped", "the front has stopped");
     Ok(())
 }
--- a/crates/platform/src/viewer.rs
+++ b/crates/platform/src/viewer.rs
@@ -94,10 +94,17 @@
     if at.is_none() && patience > deadline.saturating_mul(PATIENCE) {
         return None;
     }
+    let tenant = match m.field("P-Customer") {
+        // One that the settings don't name is no other's: it is not counted for the first.
+        Some(name) if known.tenants.iter().any(Option::is_some) => {
+            known.tenants.iter().position(|t| t.as_deref() == Some(name))?
+        }
+        _ => 0,
+    };
     let wish = Wish {
         viewer: ViewerKey(viewer?),
         class: ClassId(u16::try_from(class).ok()?),
-        tenant: TenantId(0),
+        tenant: TenantId(u16::try_from(tenant).ok()?),
         title: TitleId(title),
         home: home?,
         copies: copies?,
