--- a/crates/cli/tests/common/log.rs
+++ b/crates/cli/tests/common/log.rs
@@ -24,7 +24,7 @@
     }
 
     /// Waits until the front has let this connection go.
-    pub fn is_left(mut self) {
+    pub fn wait_until_left(mut self) {
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a time");
         let end = self.stream.read(&mut [0; 8]);
         let reset = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionReset;
@@ -34,7 +34,7 @@
     /// Ends the connection and waits until the front has seen it.
     pub fn end(self) {
         self.stream.shutdown(std::net::Shutdown::Write).expect("shuts");
-        self.is_left();
+        self.wait_until_left();
     }
 }
 
--- a/crates/cli/tests/platform_reload.rs
+++ b/crates/cli/tests/platform_reload.rs
@@ -222,7 +222,7 @@
     ] {
         assert!(line.contains(field), "{field}: {line}");
     }
-    asked.is_left();
+    asked.wait_until_left();
     assert_eq!(new.asked().last, 3);
     held.plays();
     plays(&mut open);
--- a/crates/cli/tests/platform_watch.rs
+++ b/crates/cli/tests/platform_watch.rs
@@ -75,7 +75,7 @@
         began.get_or_insert_with(Instant::now);
         let bad = [changes(4 + n, &[Record::idle(n as u32 + 1)]), vec![0xff; 8]].concat();
         asked.tell(&bad);
-        asked.is_left();
+        asked.wait_until_left();
         assert!(is_served(&asks(&front, n)));
     }
     // Eight pauses, of 0.1, 0.2, 0.4 and from then on 0.5 s at least; a busy machine only makes it longer.
@@ -111,7 +111,7 @@
     assert!(writer.join().expect("a writer"));
     // And it is read to its end.
     asked.tell(&[0xff; 4]);
-    asked.is_left();
+    asked.wait_until_left();
     assert_eq!(log.asked().last, 604);
 }
 
@@ -148,7 +148,7 @@
         last += 1;
         let (what, bytes) = cases(last)[i].clone();
         asked.tell(&[changes(last, &[Record::idle(100 + i as u32)]), bytes].concat());
-        asked.is_left();
+        asked.wait_until_left();
         assert!(is_served(&asks(&front, i as u64)), "after {what}");
     }
     // Torn in the middle of an event.
@@ -267,7 +267,7 @@
         let asked = old.asked();
         assert_eq!(asked.last, 4);
         let took = moves(&front, &config, 4);
-        asked.is_left();
+        asked.wait_until_left();
         took
     });
 }
@@ -300,7 +300,7 @@
             std::thread::yield_now();
         }
         let took = moves(&front, &config, 4);
-        asked.is_left();
+        asked.wait_until_left();
         took
     });
 }
@@ -313,7 +313,7 @@
         let front = front(&config);
         let asked = old.asked();
         let took = moves(&front, &config, 3);
-        asked.is_left();
+        asked.wait_until_left();
         took
     });
 }
