Stops: the checker asks that a session stands at exactly one node

Checked: nodes log each TEARDOWN as a release, also the give-up of an attempt at a slow node whose request was then served at another; the checker (stops/checker.rs) took a release at any node for one where it stands. Replaced by one as strict and more: of the nodes that served a request exactly one has not been released. Planted: served at two nodes is seen, which the old check passed over; released at its own node is seen as before.

--- a/crates/cli/tests/platform_stops.rs
+++ b/crates/cli/tests/platform_stops.rs
@@ -232,5 +232,9 @@
         let word = checker::Word { how: checker::How::Released, ..s.nodes[1].clone() };
         s.nodes.push(word);
     });
+    // Given up at another node before it was served is no fault; served at two and cut at neither is one.
+    let elsewhere = |how| move |s: &Stop| checker::Word { how, node: 1, ..s.nodes[1].clone() };
+    has("stands at 2 nodes", &|s| s.nodes.push(elsewhere(checker::How::Served)(s)));
+    assert_eq!(faults(&|s| s.nodes.push(elsewhere(checker::How::Released)(s))), "");
     has("that drains", &|s| s.drained = Some((0, s.nodes[0].at - ms(400))));
 }
--- a/crates/cli/tests/stops/checker.rs
+++ b/crates/cli/tests/stops/checker.rs
@@ -1,5 +1,6 @@
 //! Judges a stop from what passed on the sockets. It shares no code with the front.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// An answer as a viewer read it.
@@ -110,8 +111,21 @@
             200 if answer.body != format!("answer for {id:016x}\r\n").into_bytes() || !saw(How::Served) => {
                 fault(format!("{id:x} is served with what no node made for it"));
             }
-            200 if saw(How::Released) => fault(format!("{id:x} stands and was released at its node")),
-            200 => {}
+            // An attempt that was given up at one node and served at another stands at the other alone.
+            200 => {
+                let at = |node, how| stop.nodes.iter().any(|w| w.id == id && w.node == node && w.how == how);
+                let served: BTreeSet<usize> = stop
+                    .nodes
+                    .iter()
+                    .filter(|w| w.id == id && w.how == How::Served)
+                    .map(|w| w.node)
+                    .collect();
+                match served.iter().filter(|node| !at(**node, How::Released)).count() {
+                    0 => fault(format!("{id:x} stands and was released at its node")),
+                    1 => {}
+                    n => fault(format!("{id:x} stands at {n} nodes")),
+                }
+            }
             453 | 454 | 503 if r.paid && saw(How::Arrived) && !saw(How::TurnedAway) => {
                 fault(format!("{id:x} is refused though it may have run"));
             }
