Review: each run.sh names the record that it writes

Looked for: where record.txt is written. It was named in review/lib alone. Done: run.sh passes its path.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -287,10 +287,9 @@
 
 
 def main(case, limit_s=115):
-    """Runs `case(record, trouble)`, which returns a list of violations. Exit 1, 0 or 2."""
-    folder = Path(sys.argv[1]).resolve()
+    """Runs `case(record, trouble)`, which returns a list of violations. Exit 1, 0 or 2. The first argument names the record."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(sys.argv[1])
     record.line("case", f"TROUBLE={int(trouble)}")
     try:
         violations = asyncio.run(finish(asyncio.wait_for(case(record, trouble), limit_s)))
