--- a/review/lib/whep.py
+++ b/review/lib/whep.py
@@ -23,7 +23,7 @@
 def sdp(who, ufrag, pwd, setup, direction):
     text = f"v=0\r\no={who} 1 1 IN IP4 127.0.0.1\r\ns=-\r\nt=0 0\r\na=group:BUNDLE 0 1\r\n"
     for mid, (kind, fmt, codec) in enumerate([("audio", 111, "opus/48000/2"), ("video", 96, "VP8/90000")]):
-        text += (f"m={kind} 9 UDP/TLS/RTP/SAVPF {fmt}\r\nc=IN IP4 0.0.0.0\r\na=mid:{mid}\r\na=ice-ufrag:{ufrag}\r\n"
+        text += (f"m={kind} 9 UDP/TLS/RTP/SAVPF {fmt}\r\nc=IN IP4 127.0.0.1\r\na=mid:{mid}\r\na=ice-ufrag:{ufrag}\r\n"
                  f"a=ice-pwd:{pwd}\r\na=fingerprint:sha-256 {FINGERPRINT}\r\na=setup:{setup}\r\na=rtcp-mux\r\n"
                  f"a={direction}\r\na=rtpmap:{fmt} {codec}\r\n")
     return text.encode()
