Platform: a check of a silent node has a claim on a place among the connections

Cause: only dials show that a silent node is dead, and a dial of a check asked for a place like any set-up. Each of the 96 connections was the last one to a node with sessions, which is not closed for another, so the check never dialled; a place that came free between two dials went to a set-up.

Change: places.rs reserves a place for each node with sessions that has no connection or whose check needs a dial. A check without a place uses that of the node's own idle connection, else of the one to the node heard last, else of its own silent one. With sessions at more nodes than places, connections rotate.

--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -4,6 +4,7 @@
 
 use super::attempts::Stage;
 use super::liveness::SIGN_OF_LIFE_TIME;
+use super::places::DialPurpose;
 use super::*;
 use pepperhook::Outcome;
 
@@ -58,7 +59,8 @@
         !self.queue.iter().any(|message| matches!(message, ToNode::Release(..)))
     }
 
-    fn is_idle(&self) -> bool {
+    /// Whether nothing on it awaits an answer, and nothing waits for it to come up.
+    pub fn is_idle(&self) -> bool {
         self.set_ups.is_empty() && self.probes.is_empty() && self.queue.is_empty()
     }
 }
@@ -73,18 +75,19 @@
 }
 
 impl Core {
-    /// Dials a node. A node that is not in the list any more is never dialled, since its address may belong
-    /// to another one.
+    /// Dials a node if there is a place for the connection. A node that is not in the list any more is never
+    /// dialled, since its address may belong to another one.
     pub(super) fn dial(
         &mut self,
         now: Time,
         incarnation: IncarnationId,
+        purpose: DialPurpose,
         out: &mut Vec<Effect>,
     ) -> Option<LinkId> {
         if !self.incarnations.get(&incarnation).is_some_and(Incarnation::may_dial) {
             return None;
         }
-        if self.links.len() >= self.bounds.links && !self.evict_idle_link(out) {
+        if !self.take_place(incarnation, purpose, out) {
             return None;
         }
         let link = LinkId(self.fresh_number());
@@ -106,23 +109,6 @@
         Some(link)
     }
 
-    /// Closes the connection that was idle longest. The last connection to a node where sessions play is
-    /// kept.
-    fn evict_idle_link(&mut self, out: &mut Vec<Effect>) -> bool {
-        let spare = |l: &Link| {
-            let incarnation = self.incarnations.get(&l.incarnation);
-            l.state != LinkState::Dialling
-                && l.is_idle()
-                && incarnation.is_none_or(|n| n.links.len() > 1 || n.playing.is_empty())
-        };
-        let victim =
-            self.links.iter().filter(|(_, l)| spare(l)).min_by_key(|(_, l)| l.last_used).map(|(id, _)| *id);
-        victim.is_some_and(|link| {
-            self.close_link(link, out);
-            true
-        })
-    }
-
     pub(super) fn close_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
         let Some(l) = self.drop_link(link) else { return };
         out.push(Effect::CloseLink(link));
@@ -145,7 +131,7 @@
         link.last_used + self.sockets.idle_timeout / 5 * 4 > now
     }
 
-    fn up_links(&self, incarnation: IncarnationId) -> impl Iterator<Item = (LinkId, &Link)> {
+    pub(super) fn up_links(&self, incarnation: IncarnationId) -> impl Iterator<Item = (LinkId, &Link)> {
         let ids = self.incarnations.get(&incarnation).into_iter().flat_map(|node| &node.links);
         ids.filter_map(|id| self.links.get(id).map(|l| (*id, l))).filter(|(_, l)| l.is_up())
     }
@@ -164,7 +150,7 @@
         if let Some((link, _)) = free.max_by_key(|(_, l)| (l.carried_set_up, l.last_used)) {
             return Some(link);
         }
-        if let Some(link) = self.dial(now, incarnation, out) {
+        if let Some(link) = self.dial(now, incarnation, DialPurpose::Request, out) {
             return Some(link);
         }
         let ids = self.incarnations.get(&incarnation).into_iter().flat_map(|node| &node.links);
@@ -197,7 +183,7 @@
         if let Some((link, _)) = up {
             return self.send(now, link, message, out);
         }
-        let link = self.dialling_link(now, incarnation, out);
+        let link = self.dialling_link(now, incarnation, DialPurpose::Watch, out);
         if let Some(l) =
             link.and_then(|link| self.links.get_mut(&link)).filter(|l| l.queue.len() < MAX_QUEUED_MESSAGES)
         {
@@ -210,12 +196,13 @@
         &mut self,
         now: Time,
         incarnation: IncarnationId,
+        purpose: DialPurpose,
         out: &mut Vec<Effect>,
     ) -> Option<LinkId> {
         let ids = &self.incarnations.get(&incarnation)?.links;
         let dialled =
             ids.iter().copied().find(|id| self.links.get(id).is_some_and(|l| l.state == LinkState::Dialling));
-        dialled.or_else(|| self.dial(now, incarnation, out))
+        dialled.or_else(|| self.dial(now, incarnation, purpose, out))
     }
 
     // ---- load queries --------------------------------------------------------------------------
@@ -246,7 +233,7 @@
         if let Some((link, _)) = up {
             return Some(link);
         }
-        self.dialling_link(now, incarnation, out)
+        self.dialling_link(now, incarnation, DialPurpose::Request, out)
     }
 
     fn query_load(&mut self, now: Time, id: ProbeId, link: LinkId, out: &mut Vec<Effect>) {
@@ -466,11 +453,12 @@
                 self.close_link(link, out);
                 continue;
             }
-            // The last one is closed only once another is up, since the node may accept no more connections.
-            if self.up_links(incarnation).count() > 1 {
+            // The last one is closed only once another is up, since the node may accept no more connections. If
+            // there is no place for another one, it takes the place of this one.
+            if self.up_links(incarnation).count() > 1
+                || self.dialling_link(now, incarnation, DialPurpose::Watch, out).is_none()
+            {
                 self.half_close(now, link, out);
-            } else {
-                self.dialling_link(now, incarnation, out);
             }
         }
     }
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -16,6 +16,7 @@
 
 use super::attempts::{Attempt, Stage};
 use super::links::LinkState;
+use super::places::DialPurpose;
 use super::playing::CAUSE_BROKEN;
 use super::*;
 use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
@@ -68,7 +69,12 @@
 
 /// Doubt whether a node is alive, until a dial settles it.
 struct Suspicion {
+    /// Since when its silence is evidence. While it waits for a place it may have no connection to be heard on.
     since: Time,
+    /// It was dialled since the suspicion began.
+    dialled: bool,
+    /// It could not be dialled yet, since there is no place for another connection.
+    awaits_place: bool,
     refused_dials: u32,
     /// It was asked for a sign of life on a connection that is still up.
     asked: bool,
@@ -76,11 +82,52 @@
     redial_scheduled: bool,
 }
 
+impl Suspicion {
+    fn new(since: Time, dialled: bool) -> Self {
+        Self { since, dialled, awaits_place: false, refused_dials: 0, asked: false, redial_scheduled: false }
+    }
+
+    /// The node is asked for a sign of life. A check that had to wait for a place counts from `since`.
+    fn check_began(&mut self, since: Time) {
+        if std::mem::take(&mut self.awaits_place) && !self.dialled {
+            self.since = since;
+        }
+    }
+}
+
 impl Incarnation {
     /// Whether its address still belongs to it.
     pub fn may_dial(&self) -> bool {
         !self.retired
     }
+
+    /// Whether it is in doubt that it is alive.
+    pub fn is_suspected(&self) -> bool {
+        self.suspicion.is_some()
+    }
+
+    /// Whether a check has begun that further dials must bring to its end.
+    pub fn is_being_dialled_for_check(&self) -> bool {
+        self.suspicion.as_ref().is_some_and(|s| s.dialled)
+    }
+
+    /// Whether sessions play there, and it has no connection, its check waits for a place, or its check is
+    /// between two dials.
+    pub fn needs_place(&self) -> bool {
+        let check_needs_place = |s: &Suspicion| s.awaits_place || (s.dialled && s.redial_scheduled);
+        self.is_watched() && (self.links.is_empty() || self.suspicion.as_ref().is_some_and(check_needs_place))
+    }
+
+    /// Whether nothing was received from it for [`SIGN_OF_LIFE_TIME`] since its check began to wait for a place.
+    pub fn is_silent_under_check(&self, now: Time) -> bool {
+        let waiting = self.suspicion.as_ref().filter(|s| s.awaits_place);
+        waiting.is_some_and(|s| self.last_heard <= s.since && s.since + SIGN_OF_LIFE_TIME <= now)
+    }
+
+    /// Whether sessions play there whose ends it can report.
+    fn is_watched(&self) -> bool {
+        !self.retired && !self.dead && !self.playing.is_empty()
+    }
 }
 
 fn server_entry(e: &Entry) -> ServerEntry {
@@ -384,24 +431,56 @@
         else {
             return;
         };
-        node.suspicion.get_or_insert(Suspicion {
-            since,
-            refused_dials: 0,
-            asked: false,
-            redial_scheduled: false,
-        });
-        if self.dialling_link(now, incarnation, out).is_none() {
+        node.suspicion.get_or_insert(Suspicion::new(since, false));
+        if self.dialling_link(now, incarnation, DialPurpose::Watch, out).is_some() {
+            if let Some(suspicion) = self.suspicion_mut(incarnation) {
+                suspicion.check_began(since);
+                suspicion.dialled = true;
+            }
+        } else {
+            self.check_without_place(now, incarnation, out);
             self.schedule_redial(now, incarnation);
         }
     }
 
+    /// The check has begun: the node's connection was silent since it was suspected, and the place of that
+    /// connection serves the dials.
+    pub(super) fn keep_place_for_check(&mut self, incarnation: IncarnationId) {
+        if let Some(suspicion) = self.suspicion_mut(incarnation) {
+            (suspicion.dialled, suspicion.awaits_place) = (true, false);
+        }
+    }
+
+    fn suspicion_mut(&mut self, incarnation: IncarnationId) -> Option<&mut Suspicion> {
+        self.incarnations.get_mut(&incarnation).and_then(|node| node.suspicion.as_mut())
+    }
+
+    /// Continues a check for which no connection can be dialled. An idle connection to the node is half-closed: a
+    /// living node closes it, and otherwise its place serves the dial. If there is none, the check waits for a
+    /// place, unless nothing depends on it any more.
+    fn check_without_place(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
+        if let Some(link) = self.idle_link(incarnation) {
+            self.suspicion_mut(incarnation).into_iter().for_each(|s| s.check_began(now));
+            return self.half_close(now, link, out);
+        }
+        let is_up = self.up_links(incarnation).next().is_some();
+        let has_lost_attempts = self.lost_attempts(incarnation).next().is_some();
+        let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
+        let Some(suspicion) = &mut node.suspicion else { return };
+        if is_up && node.last_heard > suspicion.since {
+            node.suspicion = None;
+            return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
+        }
+        if node.playing.is_empty() && !has_lost_attempts {
+            node.suspicion = None;
+            return;
+        }
+        let is_closing = node.links.iter().any(|id| self.links.get(id).is_some_and(Link::is_half_closed));
+        suspicion.awaits_place = !is_closing;
+    }
+
     fn schedule_redial(&mut self, now: Time, incarnation: IncarnationId) {
-        if let Some(suspicion) = self
-            .incarnations
-            .get_mut(&incarnation)
-            .and_then(|node| node.suspicion.as_mut())
-            .filter(|s| !s.redial_scheduled)
-        {
+        if let Some(suspicion) = self.suspicion_mut(incarnation).filter(|s| !s.redial_scheduled) {
             suspicion.redial_scheduled = true;
             self.set_timer(now + REDIAL_INTERVAL, Wake::Redial(incarnation));
         }
@@ -414,11 +493,7 @@
     }
 
     pub(super) fn redial(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
-        let Some(suspicion) =
-            self.incarnations.get_mut(&incarnation).and_then(|node| node.suspicion.as_mut())
-        else {
-            return;
-        };
+        let Some(suspicion) = self.suspicion_mut(incarnation) else { return };
         suspicion.redial_scheduled = false;
         self.suspect(now, incarnation, out);
     }
@@ -447,12 +522,7 @@
             return;
         }
         let since = if dial_end == DialEnd::TimedOut { now.saturating_sub(dial) } else { now };
-        let suspicion = node.suspicion.get_or_insert(Suspicion {
-            since,
-            refused_dials: 0,
-            asked: false,
-            redial_scheduled: false,
-        });
+        let suspicion = node.suspicion.get_or_insert(Suspicion::new(since, true));
         if node.last_heard > suspicion.since {
             // It sends on another connection and only accepts no new one.
             node.suspicion = None;
@@ -481,10 +551,7 @@
     fn query_retired(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
         if !self.probing {
             // Queries are forbidden. A dead process has reset its connections, a vanished machine is silent.
-            let quiet = |node: &Incarnation| {
-                node.last_heard.saturating_add(self.quiet_limit(incarnation, node.last_heard)) < now
-            };
-            if self.incarnations.get(&incarnation).is_some_and(quiet) {
+            if self.incarnations.get(&incarnation).is_some_and(|node| self.is_quiet(now, incarnation, node)) {
                 self.end_incarnation(now, incarnation, out);
             }
             return;
@@ -529,6 +596,11 @@
         limit - limit / 8 * draw / 256
     }
 
+    /// Whether the node was silent for longer than a node with playing sessions may be.
+    pub(super) fn is_quiet(&self, now: Time, id: IncarnationId, node: &Incarnation) -> bool {
+        node.last_heard.saturating_add(self.quiet_limit(id, node.last_heard)) < now
+    }
+
     /// Asks for a sign of life of a node that was silent for long, by half-closing a spare connection, else
     /// by a new connection.
     fn check_alive(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
@@ -544,13 +616,12 @@
         };
         let quiet = |id: &IncarnationId, node: &Incarnation| {
             let is_checked = node.suspicion.is_some() || has_half_closed_link(node);
-            node.links.is_empty()
-                || (!is_checked && node.last_heard + self.quiet_limit(*id, node.last_heard) < now)
+            node.links.is_empty() || (!is_checked && self.is_quiet(now, *id, node))
         };
-        let watched = |node: &Incarnation| !node.retired && !node.dead && !node.playing.is_empty();
-        let all = self.incarnations.iter().filter(|(id, node)| watched(node) && quiet(id, node));
+        let all = self.incarnations.iter().filter(|(id, node)| node.is_watched() && quiet(id, node));
         let quiet: Vec<_> = all.map(|(id, _)| *id).collect();
         quiet.into_iter().for_each(|incarnation| self.check_alive(now, incarnation, out));
+        self.rotate_links(now, out);
         let retired = |node: &Incarnation| node.retired && !node.playing.is_empty();
         let retired: Vec<_> =
             self.incarnations.iter().filter(|(_, node)| retired(node)).map(|(id, _)| *id).collect();
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -7,11 +7,13 @@
 //! - `attempts`: at most one attempt per request is in flight.
 //! - `playing`: playing sessions, their end, and sessions that are handed over after a restart.
 //! - `links`: connections to nodes.
+//! - `places`: which connections may be dialled when almost all descriptors are in use.
 //! - `liveness`: evidence of which nodes are alive.
 
 mod attempts;
 mod links;
 mod liveness;
+mod places;
 mod playing;
 mod requests;
 #[cfg(test)]
@@ -181,6 +183,8 @@
     early_ends: BTreeMap<SessionId, playing::EarlyEnd>,
     /// Ends of sessions that could not be reported to a viewer yet.
     unsent_ends: VecDeque<playing::UnsentEnd>,
+    /// When the lack of places for connections was last logged.
+    lack_of_places_logged_at: Option<Time>,
     timers: Timers<Wake>,
     /// Events for the controller.
     pending: VecDeque<Event>,
@@ -220,6 +224,7 @@
             awaiting_list: BTreeMap::new(),
             early_ends: BTreeMap::new(),
             unsent_ends: VecDeque::new(),
+            lack_of_places_logged_at: None,
             timers,
             pending: VecDeque::new(),
             // Two runs draw different numbers, so late messages of one run are not taken for the other's.
--- a/crates/platform/src/core/playing.rs
+++ b/crates/platform/src/core/playing.rs
@@ -2,6 +2,7 @@
 //! viewer is notified on any connection from its address.
 
 use super::attempts::{Stage, ended_event};
+use super::places::DialPurpose;
 use super::*;
 use bytes::Bytes;
 use pepperhook::{NotificationKind, Outcome};
@@ -87,7 +88,7 @@
         self.clear_dead(incarnation);
         // The node needs a connection to report the end.
         if self.incarnations.get(&incarnation).is_some_and(|node| node.links.is_empty()) {
-            self.dial(now, incarnation, out);
+            self.dial(now, incarnation, DialPurpose::Watch, out);
         }
     }
 
--- a/crates/platform/src/core/tests.rs
+++ b/crates/platform/src/core/tests.rs
@@ -7,6 +7,7 @@
 mod histories;
 mod leaving;
 mod lists;
+mod places;
 mod random_settings;
 mod watch;
 
