Module: the scope of a keyed set-up is that of the attempt that may have run

The session could be set up twice.

Cause: may_set_up judged further attempts by the request's first one, also if that provably never ran, and looked its server up in the list of the moment. Now the zone, cell and time of the first attempt that may have run count.

Evidence: the new test in rules.rs fails before the change ("place of the next set-up, scope Zone, TimedOut: None"). The random test's checker misread the rule in the same way; it now holds a set-up against every attempt that may have run, with servers in two zones. So corrected it fails before the change ("rule 2: SessionId(15) is sent to ServerId(9)"); the former checker passes with two zones. It is as strict otherwise.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1015,7 +1015,10 @@
         self.detach(now, id);
         let Some(s) = self.sessions.get_mut(&id) else { return };
         s.phase = Phase::Waiting;
-        s.may_have_run |= !outcome.never_ran();
+        if !outcome.never_ran() {
+            s.may_have_run = true;
+            s.first_possible_run = s.first_possible_run.or(s.last_attempt);
+        }
         s.excluded.insert(server);
         self.place(now, id, out);
     }
@@ -1185,17 +1188,12 @@
     fn may_set_up(&self, now: Time, id: SessionId, server: &Server) -> bool {
         let Some(s) = self.sessions.get(&id) else { return false };
         // Rule 2: never two attempts at a time, and no second set-up after one that may have run.
-        let repeatable = match (s.idempotency, s.first_attempt) {
+        // An attempt that provably never ran limits nothing, even if it was the first.
+        let repeatable = match (s.idempotency, s.first_possible_run) {
             (Idempotency::Idempotent, _) => true,
             (Idempotency::AtMostOnce, _) | (Idempotency::Deduplicated(..), None) => !s.may_have_run,
-            (Idempotency::Deduplicated(scope, span), Some((first_at, first_server))) => {
-                let first = self.servers.get(&first_server).map(|f| f.entry);
-                let in_scope = first.is_some_and(|f| match scope {
-                    DedupScope::All => true,
-                    DedupScope::Zone => f.zone == server.entry.zone,
-                    DedupScope::Cell => f.cell == server.entry.cell,
-                });
-                !s.may_have_run || (in_scope && now <= first_at.saturating_add(span))
+            (Idempotency::Deduplicated(scope, span), Some(attempt)) => {
+                attempt.shares_record(scope, &server.entry) && now <= attempt.sent_at.saturating_add(span)
             }
         };
         let max_sessions = self.settings.classes[s.class].max_sessions_per_title as usize;
@@ -1294,7 +1292,7 @@
         if s.attempts > 0 {
             self.recent_retries.push(now, 1.0, self.settings.rules.retry_budget.map_or(0, |b| b.window));
         }
-        s.first_attempt = s.first_attempt.or(Some((now, server)));
+        s.last_attempt = self.servers.get(&server).map(|state| SentAttempt::new(now, &state.entry));
         (s.phase, s.server, s.phase_since) = (Phase::SettingUp, Some(server), now);
         s.attempts += 1;
         if let Some(state) = self.servers.get_mut(&server) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,7 +46,7 @@
     /// A set-up may be repeated only if every earlier attempt provably never ran.
     AtMostOnce,
     /// Servers discard duplicates: after an attempt that may have run, a set-up may be repeated only within
-    /// this scope and for this long after the first attempt.
+    /// this scope of its server and for this long after it was sent.
     Deduplicated(DedupScope, Time),
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,29 @@
     Playing,
 }
 
+/// An attempt as far as it limits later ones. The server is as the list described it when the set-up was sent.
+#[derive(Clone, Copy)]
+pub struct SentAttempt {
+    pub sent_at: Time,
+    pub zone: ZoneId,
+    pub cell: u32,
+}
+
+impl SentAttempt {
+    pub fn new(sent_at: Time, server: &ServerEntry) -> Self {
+        Self { sent_at, zone: server.zone, cell: server.cell }
+    }
+
+    /// Whether this server has the same record of set-ups as the one of the attempt.
+    pub fn shares_record(&self, scope: DedupScope, server: &ServerEntry) -> bool {
+        match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => self.zone == server.zone,
+            DedupScope::Cell => self.cell == server.cell,
+        }
+    }
+}
+
 /// A request, and the session that results from it.
 pub struct Session {
     pub spec: SessionSpec,
@@ -48,10 +71,12 @@
     pub deadline: Time,
     /// Number of attempts sent.
     pub attempts: u32,
-    /// Time and server of the first attempt; limits repeated set-ups of [`Idempotency::Deduplicated`].
-    pub first_attempt: Option<(Time, ServerId)>,
+    pub last_attempt: Option<SentAttempt>,
     /// An attempt may have run although it failed.
     pub may_have_run: bool,
+    /// The first attempt that may have run although it failed; limits repeated set-ups of
+    /// [`Idempotency::Deduplicated`].
+    pub first_possible_run: Option<SentAttempt>,
     /// Time of the request, of the last attempt, or of the start of playing, whichever is latest.
     pub phase_since: Time,
     /// When the rung was last set; 0 allows a rise at once.
@@ -192,8 +217,9 @@
             placement_limit: highest_rung,
             deadline: now.saturating_add(spec.max_wait),
             attempts: 0,
-            first_attempt: None,
+            last_attempt: None,
             may_have_run: false,
+            first_possible_run: None,
             phase_since: now,
             rung_set_at: now,
             rise_considered_at: now,
--- a/tests/policy/checker.rs
+++ b/tests/policy/checker.rs
@@ -36,10 +36,12 @@
     state: RequestState,
     /// Number of set-ups sent.
     attempts: u32,
-    /// Time and server of the first attempt.
-    first_attempt: Option<(Time, ServerId)>,
+    /// Time of the last attempt, and its server as listed then.
+    last_attempt: Option<(Time, ServerEntry)>,
     /// An attempt may have run.
     may_have_run: bool,
+    /// Each attempt that may have run: its time, and its server as listed then.
+    possible_runs: Vec<(Time, ServerEntry)>,
     rung: u8,
     /// It played above the highest rung when that was lowered, and its rung has not been set since.
     above_highest: bool,
@@ -104,8 +106,9 @@
                     max_lowest: lowest,
                     state: RequestState::Waiting,
                     attempts: 0,
-                    first_attempt: None,
+                    last_attempt: None,
                     may_have_run: false,
+                    possible_runs: Vec::new(),
                     rung: lowest,
                     above_highest: false,
                 };
@@ -119,8 +122,10 @@
             Event::Ended { session, outcome, is_final, .. } => {
                 if let Some(request) = self.requests.get_mut(session) {
                     request.state = RequestState::Waiting;
-                    request.may_have_run |=
-                        !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Unsent);
+                    if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Unsent) {
+                        request.may_have_run = true;
+                        request.possible_runs.extend(request.last_attempt);
+                    }
                 }
                 if *is_final {
                     self.requests.remove(session);
@@ -217,15 +222,15 @@
             Idempotency::Idempotent => true,
             Idempotency::AtMostOnce => false,
             Idempotency::Deduplicated(scope, span) => {
-                request.first_attempt.is_some_and(|(first_time, first)| {
-                    let first = self.servers[&first];
-                    now <= first_time + span
-                        && match scope {
-                            DedupScope::All => true,
-                            DedupScope::Zone => first.zone == server.zone,
-                            DedupScope::Cell => first.cell == server.cell,
-                        }
-                })
+                let allows = |(sent_at, earlier): &(Time, ServerEntry)| {
+                    let same_scope = match scope {
+                        DedupScope::All => true,
+                        DedupScope::Zone => earlier.zone == server.zone,
+                        DedupScope::Cell => earlier.cell == server.cell,
+                    };
+                    same_scope && now <= sent_at + span
+                };
+                !request.possible_runs.is_empty() && request.possible_runs.iter().all(allows)
             }
         };
         if request.may_have_run && !may_repeat {
@@ -306,9 +311,10 @@
             self.retry_times.push(now);
         }
         self.set_ups.push((now, to));
+        let listed = *server;
         let request = self.requests.get_mut(&id).expect("the request was found above");
         request.attempts += 1;
-        request.first_attempt = request.first_attempt.or(Some((now, to)));
+        request.last_attempt = Some((now, listed));
         request.state = RequestState::Attempting(to);
         Ok(())
     }
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -120,7 +120,7 @@
             last_sequence: 0,
             last_session: 0,
             playing: Vec::new(),
-            list: (0..12).map(|i| server(i + 1, i)).collect(),
+            list: (0..12).map(|i| ServerEntry { zone: ZoneId((i % 2) as _), ..server(i + 1, i) }).collect(),
             transcript: Vec::new(),
         };
         let list = world.list.clone();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -60,6 +60,49 @@
     }
 }
 
+/// Guards against a set-up that runs twice: the scope of a deduplicated set-up was that of the first attempt,
+/// also if it never ran, and not that of the attempt that may have run.
+#[test]
+fn a_deduplicated_set_up_is_repeated_only_where_an_attempt_that_may_have_run_is_known() {
+    for scope in [DedupScope::All, DedupScope::Zone, DedupScope::Cell] {
+        for (outcome, pause) in
+            [(Outcome::TimedOut, 0), (Outcome::LinkBroken, 0), (Outcome::TimedOut, SECOND)]
+        {
+            let mut settings = settings();
+            settings.classes[0].idempotency = Idempotency::Deduplicated(scope, SECOND);
+            settings.max_attempts = 9;
+            // Three servers in each of two cells, which are in different zones.
+            let servers: Vec<_> =
+                (0..6).map(|i| ServerEntry { zone: ZoneId((i % 2) as _), ..server(i + 1, i % 2) }).collect();
+            let place = |id: ServerId| servers.iter().find(|s| s.server == id).expect("it is listed").cell;
+            let mut front = Front::new(settings, &servers);
+            let (mut at, _) = front.request(1, spec(1, 0.0, 2.0)).expect("a set-up should be sent");
+            let first = place(at);
+            while place(at) == first {
+                let (next, _) = placement(&front.end(1, at, Outcome::Full, false)).expect("nothing has run");
+                at = next;
+            }
+            front.now += pause + 1;
+            let other_zone =
+                ServerEntry { zone: ZoneId(7), cell: 3, state: ServerState::Draining, ..server(at.0, 3) };
+            front.handle(Event::ListChanged(vec![other_zone]));
+            let actions = front.end(1, at, outcome, false);
+            let next = placement(&actions).map(|(next, _)| place(next));
+            if pause > 0 {
+                assert_eq!(next, None, "a set-up was sent after the window, scope {scope:?}");
+            } else if scope == DedupScope::All {
+                assert!(next.is_some(), "no set-up was sent, {outcome:?}");
+            } else {
+                assert_eq!(next, Some(place(at)), "place of the next set-up, scope {scope:?}, {outcome:?}");
+            }
+            assert!(
+                !refused(&actions) || scope == DedupScope::All,
+                "the request was refused, scope {scope:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_request_never_has_two_open_attempts() {
     let mut front = Front::new(settings(), &[server(1, 0), server(2, 1)]);
