Platform: a release is kept for a node that cannot be dialled for want of a place

Callers saw: with all connections to nodes in use, a viewer's release at a node without one was answered 200, and the node was never told.

Cause: send_to_node dropped a message that no dial could carry. The release is now kept with the node and sent on its next connection; a node that is owed one has a claim on a place, and is dialled until it answers or is found dead. The exit waits for it until the same last moment as before.

--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -168,7 +168,8 @@
         }
     }
 
-    /// Sends a message about a playing session on any connection to its node.
+    /// Sends a message about a playing session on any connection to its node. If there is none and no place for
+    /// one, a release is kept for the next connection.
     pub(super) fn send_to_node(
         &mut self,
         now: Time,
@@ -184,10 +185,10 @@
             return self.send(now, link, message, out);
         }
         let link = self.dialling_link(now, incarnation, DialPurpose::Watch, out);
-        if let Some(l) =
-            link.and_then(|link| self.links.get_mut(&link)).filter(|l| l.queue.len() < MAX_QUEUED_MESSAGES)
-        {
-            l.queue.push(message);
+        match link.and_then(|link| self.links.get_mut(&link)) {
+            Some(l) if l.queue.len() < MAX_QUEUED_MESSAGES => l.queue.push(message),
+            Some(_) => {}
+            None => self.keep_releases(incarnation, vec![message]),
         }
     }
 
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -63,7 +63,7 @@
     /// When a message or another sign of life was last received.
     pub last_heard: Time,
     suspicion: Option<Suspicion>,
-    /// Releases to send if it comes back.
+    /// Releases to send on the next connection that comes up.
     pending_releases: VecDeque<ToNode>,
 }
 
@@ -111,8 +111,8 @@
         self.suspicion.as_ref().is_some_and(|s| s.dialled)
     }
 
-    /// Whether sessions play there, and it has no connection, its check waits for a place, or its check is
-    /// between two dials.
+    /// Whether it is watched, and it has no connection, its check waits for a place, or its check is between two
+    /// dials.
     pub fn needs_place(&self) -> bool {
         let check_needs_place = |s: &Suspicion| s.awaits_place || (s.dialled && s.redial_scheduled);
         self.is_watched() && (self.links.is_empty() || self.suspicion.as_ref().is_some_and(check_needs_place))
@@ -124,9 +124,20 @@
         waiting.is_some_and(|s| self.last_heard <= s.since && s.since + SIGN_OF_LIFE_TIME <= now)
     }
 
-    /// Whether sessions play there whose ends it can report.
+    /// Whether it may be alive and has to be reached: sessions play there whose ends it reports, or it has to be
+    /// sent a release.
     fn is_watched(&self) -> bool {
-        !self.retired && !self.dead && !self.playing.is_empty()
+        !self.retired && !self.dead && self.has_sessions()
+    }
+
+    /// Whether sessions play there, or do as far as it knows.
+    fn has_sessions(&self) -> bool {
+        !self.playing.is_empty() || !self.pending_releases.is_empty()
+    }
+
+    /// Whether a release waits for a connection to this node, which may be alive.
+    pub fn awaits_release(&self) -> bool {
+        !self.retired && !self.dead && !self.pending_releases.is_empty()
     }
 }
 
@@ -466,12 +477,13 @@
         let is_up = self.up_links(incarnation).next().is_some();
         let has_lost_attempts = self.lost_attempts(incarnation).next().is_some();
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
+        let is_needed = node.has_sessions() || has_lost_attempts;
         let Some(suspicion) = &mut node.suspicion else { return };
         if is_up && node.last_heard > suspicion.since {
             node.suspicion = None;
             return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
         }
-        if node.playing.is_empty() && !has_lost_attempts {
+        if !is_needed {
             node.suspicion = None;
             return;
         }
@@ -517,7 +529,7 @@
         let up = node.links.iter().any(|link| self.links.get(link).is_some_and(Link::is_up));
         let has_lost_attempts = self.lost_attempts(incarnation).next().is_some();
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
-        if node.dead || (node.playing.is_empty() && !has_lost_attempts) {
+        if node.dead || (!node.has_sessions() && !has_lost_attempts) {
             node.suspicion = None;
             return;
         }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -302,7 +302,9 @@
     /// Whether no request is open and no release waits for a connection to its node.
     #[must_use]
     pub fn has_no_pending_work(&self) -> bool {
-        self.open_requests == 0 && self.links.values().all(Link::has_no_queued_release)
+        self.open_requests == 0
+            && self.links.values().all(Link::has_no_queued_release)
+            && !self.incarnations.values().any(Incarnation::awaits_release)
     }
 
     /// Number of playing sessions.
--- a/crates/platform/src/core/tests/places.rs
+++ b/crates/platform/src/core/tests/places.rs
@@ -184,3 +184,27 @@
         fleet.assert_all_notified_in_time();
     }
 }
+
+/// Guards against sessions that play on after their viewers ended them: a release was dropped if its node had no
+/// connection and there was no place for one.
+#[test]
+fn a_release_reaches_its_node_although_there_was_no_place_for_a_connection() {
+    let mut fleet = Fleet::new(12, 26);
+    (1..=fleet.nodes).for_each(|id| fleet.hand_over(u64::from(1_000 + id), id));
+    fleet.advance(S, true);
+    let connected: BTreeSet<_> = fleet.links.values().copied().collect();
+    let unconnected = fleet.playing.iter().filter(|(_, address)| !connected.contains(address));
+    let released: Vec<_> = unconnected.map(|(id, _)| SessionId(*id)).collect();
+    assert!(!released.is_empty(), "there is a place for each node");
+    released.iter().for_each(|id| fleet.input(Input::Release(ConnId(1), *id)));
+    let is_pending = !fleet.front.core.has_no_pending_work();
+    fleet.advance(6 * S, true);
+    for id in released {
+        let release = ToNode::Release(id, 7, 31);
+        assert!(sent_to_node(&fleet.front.out, &release), "{id:?} was not released at its node");
+    }
+    assert!(
+        is_pending && fleet.front.core.has_no_pending_work(),
+        "an exit would not have waited, or too long"
+    );
+}
