Platform: the incarnations of nodes and the list are a module of their own

Cause: liveness.rs had grown to 650 lines and held two matters. Change: the list of nodes, what is known of each incarnation and its end moved to incarnations.rs as they were; the evidence of which nodes are alive stays.

--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -6,11 +6,13 @@
 //! - `requests`: every request gets exactly one answer.
 //! - `attempts`: at most one attempt per request is in flight.
 //! - `playing`: playing sessions, their end, and sessions that are handed over after a restart.
+//! - `incarnations`: the list of nodes, and the incarnations of each node.
 //! - `links`: connections to nodes.
 //! - `places`: which connections may be dialled when almost all descriptors are in use.
 //! - `liveness`: evidence of which nodes are alive.
 
 mod attempts;
+mod incarnations;
 mod links;
 mod liveness;
 mod places;
@@ -20,8 +22,8 @@
 mod tests;
 mod types;
 
+use incarnations::Incarnation;
 use links::Link;
-use liveness::Incarnation;
 use pepperhook::{Action, Controller, Event, ServerId, SessionId, Settings, SettingsError, Time};
 use pepperhook_net::Timers;
 use pepperhook_parameters::SocketSettings;
--- a/crates/platform/src/core/places.rs
+++ b/crates/platform/src/core/places.rs
@@ -8,7 +8,7 @@
 //! long as the watch allows gets the place of the node that was heard last. A node repeats on its next connection
 //! the ends that it could not report, so each is reported in time.
 
-use super::liveness::Incarnation;
+use super::incarnations::Incarnation;
 use super::*;
 
 /// Interval in which the lack of places is logged, at most.
