Platform: a release that crosses the end of its connection is sent again on the next one

Callers saw: a viewer's release was answered 200 and never reached its node, which had closed the connection at that moment; an exit did not wait for it. The test a_release_that_waits_for_a_connection_... failed by it now and then.

Cause: the front wrote the release to a connection whose end it had not read yet, and forgot it with the connection. It is now kept until the node acknowledges it or reports the end, 0.5 s at most, and sent on the next connection.

Evidence: in failed runs the node's listen queue had room after 0.04 and 0.08 s and no dial came, so the dial's time-out was not the cause.

--- a/crates/cli/tests/platform_drain.rs
+++ b/crates/cli/tests/platform_drain.rs
@@ -486,6 +486,19 @@
 /// the node before the front ends.
 #[test]
 fn a_release_that_waits_for_a_connection_reaches_its_node_before_the_end() {
+    check_release_at_shutdown(false);
+}
+
+/// Guards against the same loss if the front reads the viewer's release first and writes it to the connection that the
+/// node has just closed.
+#[test]
+fn a_release_that_crosses_the_end_of_its_connection_reaches_its_node_before_the_end() {
+    check_release_at_shutdown(true);
+}
+
+/// Stops a front that has to pass a release on. If `release_is_read_first`, the front is stopped by SIGSTOP while the viewer
+/// sends the release and then the node closes its connection.
+fn check_release_at_shutdown(release_is_read_first: bool) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind to a loopback port");
     let address = listener.local_addr().expect("no valid address");
     let mut configuration = config(&[address], change_log(Vec::new()).0);
@@ -507,10 +520,17 @@
         queue.push(stream);
         assert!(queue.len() < 5_000, "the listen queue is not full after 5000 connections");
     }
-    drop(served);
     let teardown =
         message("TEARDOWN rtsp://media/00000000000000f1 RTSP/1.0", &[("CSeq", "2"), ("Session", id)], b"");
-    viewer.write_all(&teardown).expect("cannot write to the connection");
+    if release_is_read_first {
+        front.signal("SIGSTOP");
+        viewer.write_all(&teardown).expect("cannot write to the connection");
+        drop(served);
+        front.signal("SIGCONT");
+    } else {
+        drop(served);
+        viewer.write_all(&teardown).expect("cannot write to the connection");
+    }
     assert_eq!(read(&mut viewer).expect("the release was not answered").field("CSeq"), Some("2"));
     front.signal("SIGTERM");
     wait_for_log_line(&front.log_lines, "stopping");
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -11,6 +11,8 @@
 /// Messages that wait for a connection to come up, at most; further ones are dropped, rungs included. One
 /// message per session suffices, and a dial takes no longer than the dial timeout of the settings.
 const MAX_QUEUED_MESSAGES: usize = 256;
+/// Time after which a release that was sent has reached its node, unless the connection had ended before.
+const RELEASE_DELIVERY_TIME: Time = 500 * MS;
 /// Dials for one attempt, at most, if they fail for a local reason. A second dial tells a chance failure from
 /// a fault on this side, independent of the settings.
 const MAX_DIALS: u8 = 2;
@@ -43,6 +45,8 @@
     pub set_ups: BTreeSet<SessionId>,
     probes: BTreeSet<ProbeId>,
     queue: Vec<ToNode>,
+    /// Releases sent on it that the node has not acknowledged, and when they were sent.
+    unacknowledged: Vec<(Time, SessionId, ToNode)>,
 }
 
 impl Link {
@@ -59,6 +63,21 @@
         !self.queue.iter().any(|message| matches!(message, ToNode::Release(..)))
     }
 
+    fn release_sent(&mut self, now: Time, id: SessionId, release: ToNode) {
+        self.unacknowledged.retain(|(sent_at, ..)| sent_at + RELEASE_DELIVERY_TIME > now);
+        self.unacknowledged.push((now, id, release));
+    }
+
+    fn release_acknowledged(&mut self, id: SessionId) {
+        self.unacknowledged.retain(|(_, released, _)| *released != id);
+    }
+
+    /// Releases that may have been lost with the connection: the node may have closed it before it read them.
+    fn into_lost_releases(self, now: Time) -> Vec<ToNode> {
+        let recent = self.unacknowledged.into_iter().filter(|(at, ..)| at + RELEASE_DELIVERY_TIME > now);
+        recent.map(|(.., release)| release).collect()
+    }
+
     /// Whether nothing on it awaits an answer, and nothing waits for it to come up.
     pub fn is_idle(&self) -> bool {
         self.set_ups.is_empty() && self.probes.is_empty() && self.queue.is_empty()
@@ -104,6 +123,7 @@
             set_ups: BTreeSet::new(),
             probes: BTreeSet::new(),
             queue: Vec::new(),
+            unacknowledged: Vec::new(),
         };
         self.links.insert(link, new);
         Some(link)
@@ -164,6 +184,9 @@
     pub(super) fn send(&mut self, now: Time, link: LinkId, message: ToNode, out: &mut Vec<Effect>) {
         if let Some(l) = self.links.get_mut(&link).filter(|l| l.is_up()) {
             l.last_used = now;
+            if let ToNode::Release(id, ..) = &message {
+                l.release_sent(now, *id, message.clone());
+            }
             out.push(Effect::SendToNode(link, message));
         }
     }
@@ -338,7 +361,7 @@
     pub(super) fn link_down(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
         let Some(l) = self.drop_link(link) else { return };
         let mut lost_attempts = false;
-        for id in l.set_ups {
+        for id in l.set_ups.iter().copied() {
             match self.attempt(id).map(|a| a.stage) {
                 Some(Stage::Sent) => {
                     lost_attempts = true;
@@ -352,14 +375,18 @@
                 _ => {}
             }
         }
-        let lost_probes = !l.probes.is_empty();
-        l.probes.into_iter().for_each(|id| self.retry_probe(now, id, out));
-        self.link_lost(now, l.incarnation, lost_attempts || lost_probes, out);
+        let (incarnation, lost_probes) = (l.incarnation, !l.probes.is_empty());
+        l.probes.iter().for_each(|id| self.retry_probe(now, *id, out));
+        self.keep_releases(incarnation, l.into_lost_releases(now));
+        self.link_lost(now, incarnation, lost_attempts || lost_probes, out);
     }
 
     pub(super) fn node_message(&mut self, now: Time, link: LinkId, message: FromNode, out: &mut Vec<Effect>) {
         let Some(l) = self.links.get_mut(&link) else { return };
         (l.last_used, l.blocked) = (now, false);
+        if let FromNode::Acknowledged(id) | FromNode::SessionEnded(id, ..) = &message {
+            l.release_acknowledged(*id);
+        }
         let incarnation = l.incarnation;
         if let Some(incarnation) = self.incarnations.get_mut(&incarnation) {
             incarnation.last_heard = now;
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -131,7 +131,7 @@
             } else {
                 self.end_lost_attempts(incarnation, Outcome::LinkBroken);
             }
-        } else if had_work || !node.playing.is_empty() {
+        } else if had_work || node.has_sessions() {
             self.suspect(now, incarnation, out);
         }
     }
--- a/crates/platform/src/core/tests/leaving.rs
+++ b/crates/platform/src/core/tests/leaving.rs
@@ -225,3 +225,25 @@
     let out = front.handle(Input::Release(ConnId(2), SessionId(1)));
     assert_eq!(out, [Effect::SendToViewer(ConnId(2), ToViewer::Acknowledge(SessionId(1)))]);
 }
+
+/// Guards against a session that plays on although its viewer has ended it: its node closed the connection while
+/// the release was on the way.
+#[test]
+fn a_release_that_crosses_the_end_of_its_connection_is_sent_again_unless_it_was_acknowledged() {
+    for acknowledged in [false, true] {
+        let mut front = Harness::with_three_nodes();
+        let (link, address) = front.playing(1);
+        let release = ToNode::Release(SessionId(1), 7, 31);
+        assert!(sent_to_node(&front.handle(Input::Release(ConnId(1), SessionId(1))), &release));
+        if acknowledged {
+            front.handle(Input::NodeMessage(link, FromNode::Acknowledged(SessionId(1))));
+        }
+        let out = front.handle(Input::LinkDown(link));
+        assert_eq!(first_dial(&out).map(|(_, at)| at), (!acknowledged).then_some(address));
+        assert_eq!(front.core.has_no_pending_work(), acknowledged);
+        if let Some((next, _)) = first_dial(&out) {
+            assert!(sent_to_node(&front.handle(Input::LinkUp(next)), &release), "it was not sent again");
+            assert!(front.core.has_no_pending_work());
+        }
+    }
+}
