Platform: a release that was sent again is not repeated once more

Cause, found on reading the change again: a node that accepts and closes each connection would have been dialled for one release without a pause. What is sent on a new connection for the second time is now not followed up. The fields of a sent release have names. The core test checks that the second loss dials no more; the crate's 84 tests pass.

--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -45,8 +45,21 @@
     pub set_ups: BTreeSet<SessionId>,
     probes: BTreeSet<ProbeId>,
     queue: Vec<ToNode>,
-    /// Releases sent on it that the node has not acknowledged, and when they were sent.
-    unacknowledged: Vec<(Time, SessionId, ToNode)>,
+    /// Releases sent on it that the node has not acknowledged.
+    unacknowledged: Vec<SentRelease>,
+}
+
+/// A release that may be lost with its connection.
+struct SentRelease {
+    sent_at: Time,
+    session: SessionId,
+    message: ToNode,
+}
+
+impl SentRelease {
+    fn is_under_way(&self, now: Time) -> bool {
+        self.sent_at + RELEASE_DELIVERY_TIME > now
+    }
 }
 
 impl Link {
@@ -63,19 +76,19 @@
         !self.queue.iter().any(|message| matches!(message, ToNode::Release(..)))
     }
 
-    fn release_sent(&mut self, now: Time, id: SessionId, release: ToNode) {
-        self.unacknowledged.retain(|(sent_at, ..)| sent_at + RELEASE_DELIVERY_TIME > now);
-        self.unacknowledged.push((now, id, release));
+    fn release_sent(&mut self, now: Time, session: SessionId, message: ToNode) {
+        self.unacknowledged.retain(|release| release.is_under_way(now));
+        self.unacknowledged.push(SentRelease { sent_at: now, session, message });
     }
 
-    fn release_acknowledged(&mut self, id: SessionId) {
-        self.unacknowledged.retain(|(_, released, _)| *released != id);
+    fn release_acknowledged(&mut self, session: SessionId) {
+        self.unacknowledged.retain(|release| release.session != session);
     }
 
     /// Releases that may have been lost with the connection: the node may have closed it before it read them.
     fn into_lost_releases(self, now: Time) -> Vec<ToNode> {
-        let recent = self.unacknowledged.into_iter().filter(|(at, ..)| at + RELEASE_DELIVERY_TIME > now);
-        recent.map(|(.., release)| release).collect()
+        let lost = self.unacknowledged.into_iter().filter(|release| release.is_under_way(now));
+        lost.map(|release| release.message).collect()
     }
 
     /// Whether nothing on it awaits an answer, and nothing waits for it to come up.
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -112,7 +112,8 @@
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         (node.last_heard, node.suspicion, node.dead) = (now, None, false);
         let pending_releases = std::mem::take(&mut node.pending_releases);
-        pending_releases.into_iter().for_each(|message| self.send(now, link, message, out));
+        // They are not repeated once more, so that a node which closes each connection is not dialled for ever.
+        out.extend(pending_releases.into_iter().map(|message| Effect::SendToNode(link, message)));
         self.end_lost_attempts(incarnation, Outcome::LinkBroken);
     }
 
--- a/crates/platform/src/core/tests/leaving.rs
+++ b/crates/platform/src/core/tests/leaving.rs
@@ -244,6 +244,8 @@
         if let Some((next, _)) = first_dial(&out) {
             assert!(sent_to_node(&front.handle(Input::LinkUp(next)), &release), "it was not sent again");
             assert!(front.core.has_no_pending_work());
+            let out = front.handle(Input::LinkDown(next));
+            assert!(first_dial(&out).is_none(), "a node that closes each connection is dialled for ever");
         }
     }
 }
