Platform: what the last change wrote twice stands once

On reading the change again: the check for a half-closed connection stood in two functions, the id of a sent release twice in one struct, and the conditions of a watched node in awaits_release once more; a local name said `watched` for another thing than is_watched; a parameter of the places' tests was always the same. Behaviour and assertions are as before.

--- a/crates/cli/tests/known_red.rs
+++ b/crates/cli/tests/known_red.rs
@@ -1,6 +1,7 @@
 //! The script `.ci/test` and its list of tests known to fail. A listed test that fails must not fail the run;
 //! anything else must: another failing test, a listed test that passes although it is not called flaky, one that is
-//! not found or not executed, a malformed list, a run without tests. Checked on generated packages of a few lines, without a network.
+//! not found or not executed, a malformed list, a run without tests. Checked on generated packages of a few lines,
+//! without a network.
 
 use std::path::Path;
 use std::process::{Command, Output};
--- a/crates/platform/src/core/incarnations.rs
+++ b/crates/platform/src/core/incarnations.rs
@@ -60,7 +60,7 @@
 
     /// Whether a release waits for a connection to this node, which may be alive.
     pub fn awaits_release(&self) -> bool {
-        !self.retired && !self.dead && !self.pending_releases.is_empty()
+        self.is_watched() && !self.pending_releases.is_empty()
     }
 }
 
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -52,7 +52,6 @@
 /// A release that may be lost with its connection.
 struct SentRelease {
     sent_at: Time,
-    session: SessionId,
     message: ToNode,
 }
 
@@ -60,6 +59,10 @@
     fn is_under_way(&self, now: Time) -> bool {
         self.sent_at + RELEASE_DELIVERY_TIME > now
     }
+
+    fn is_of(&self, session: SessionId) -> bool {
+        matches!(self.message, ToNode::Release(released, ..) if released == session)
+    }
 }
 
 impl Link {
@@ -76,13 +79,13 @@
         !self.queue.iter().any(|message| matches!(message, ToNode::Release(..)))
     }
 
-    fn release_sent(&mut self, now: Time, session: SessionId, message: ToNode) {
+    fn release_sent(&mut self, now: Time, message: ToNode) {
         self.unacknowledged.retain(|release| release.is_under_way(now));
-        self.unacknowledged.push(SentRelease { sent_at: now, session, message });
+        self.unacknowledged.push(SentRelease { sent_at: now, message });
     }
 
     fn release_acknowledged(&mut self, session: SessionId) {
-        self.unacknowledged.retain(|release| release.session != session);
+        self.unacknowledged.retain(|release| !release.is_of(session));
     }
 
     /// Releases that may have been lost with the connection: the node may have closed it before it read them.
@@ -197,8 +200,8 @@
     pub(super) fn send(&mut self, now: Time, link: LinkId, message: ToNode, out: &mut Vec<Effect>) {
         if let Some(l) = self.links.get_mut(&link).filter(|l| l.is_up()) {
             l.last_used = now;
-            if let ToNode::Release(id, ..) = &message {
-                l.release_sent(now, *id, message.clone());
+            if matches!(message, ToNode::Release(..)) {
+                l.release_sent(now, message.clone());
             }
             out.push(Effect::SendToNode(link, message));
         }
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -185,6 +185,7 @@
             return self.half_close(now, link, out);
         }
         let is_up = self.up_links(incarnation).next().is_some();
+        let is_closing = self.incarnations.get(&incarnation).is_some_and(|n| self.has_half_closed_link(n));
         let has_lost_attempts = self.lost_attempts(incarnation).next().is_some();
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         let is_needed = node.has_sessions() || has_lost_attempts;
@@ -197,7 +198,6 @@
             node.suspicion = None;
             return;
         }
-        let is_closing = node.links.iter().any(|id| self.links.get(id).is_some_and(Link::is_half_closed));
         suspicion.awaits_place = !is_closing;
     }
 
@@ -318,6 +318,10 @@
         limit - limit / 8 * draw / 256
     }
 
+    fn has_half_closed_link(&self, node: &Incarnation) -> bool {
+        node.links.iter().any(|id| self.links.get(id).is_some_and(Link::is_half_closed))
+    }
+
     /// Whether the node was silent for longer than a node with playing sessions may be.
     pub(super) fn is_quiet(&self, now: Time, id: IncarnationId, node: &Incarnation) -> bool {
         node.last_heard.saturating_add(self.quiet_limit(id, node.last_heard)) < now
@@ -333,11 +337,8 @@
     }
 
     pub(super) fn sweep_incarnations(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let has_half_closed_link = |node: &Incarnation| {
-            node.links.iter().any(|id| self.links.get(id).is_some_and(Link::is_half_closed))
-        };
         let quiet = |id: &IncarnationId, node: &Incarnation| {
-            let is_checked = node.suspicion.is_some() || has_half_closed_link(node);
+            let is_checked = node.is_suspected() || self.has_half_closed_link(node);
             node.links.is_empty() || (!is_checked && self.is_quiet(now, *id, node))
         };
         let all = self.incarnations.iter().filter(|(id, node)| node.is_watched() && quiet(id, node));
--- a/crates/platform/src/core/places.rs
+++ b/crates/platform/src/core/places.rs
@@ -1,8 +1,8 @@
 //! Places for connections to nodes, whose number is bounded ([`Bounds::links`]), and who may take one.
 //!
-//! Each node where sessions play needs a connection, on which it reports their ends, and a check whether a silent
-//! node is alive needs a dial. So a place is reserved for each such node that has no connection, or whose check
-//! waits for a dial. Set-ups and load queries are dialled for with the remaining places only.
+//! Each node where sessions play needs a connection, on which it reports their ends, and so does one that is owed a
+//! release; a check whether a silent node is alive needs a dial. So a place is reserved for each such node that has
+//! no connection, or whose check waits for a dial. Set-ups and load queries are dialled for with the remaining places only.
 //!
 //! If sessions play at more nodes than there are places, connections are rotated: a node that was not heard for as
 //! long as the watch allows gets the place of the node that was heard last. A node repeats on its next connection
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Nodes with playing sessions that need a place.
+    /// Watched nodes that need a place.
     fn waiting_nodes(&self) -> impl Iterator<Item = (IncarnationId, &Incarnation)> {
         self.incarnations.iter().map(|(id, node)| (*id, node)).filter(|(_, node)| node.needs_place())
     }
@@ -74,9 +74,9 @@
     }
 
     fn is_spare(&self, link: &Link) -> bool {
-        let is_watched =
+        let has_playing_sessions =
             self.incarnations.get(&link.incarnation).is_some_and(|node| !node.playing.is_empty());
-        let may_close = if is_watched {
+        let may_close = if has_playing_sessions {
             link.is_up() && self.up_links(link.incarnation).count() > 1
         } else {
             link.is_up() || link.is_half_closed()
--- a/crates/platform/src/core/tests/places.rs
+++ b/crates/platform/src/core/tests/places.rs
@@ -104,14 +104,14 @@
         }
     }
 
-    /// Lets time pass, in which requests come if `with_requests`.
-    fn advance(&mut self, time: Time, with_requests: bool) {
+    /// Lets time pass, in which requests come.
+    fn advance(&mut self, time: Time) {
         let end = self.front.now + time;
         while self.front.now < end {
             let out = self.front.advance(MS);
             self.take(out);
             self.deliver();
-            if with_requests && self.front.now % REQUEST_INTERVAL == 0 {
+            if self.front.now % REQUEST_INTERVAL == 0 {
                 let id = self.next_request;
                 self.next_request += 1;
                 self.input(Input::SetUp(ConnId(1), request(id, (id % 2) as u16)));
@@ -154,11 +154,11 @@
     for (nodes, descriptors, vanishing) in [(6, 26, 1), (6, 26, 4), (30, 66, 6)] {
         for delay in [0, 130, 777, 1_900] {
             let mut fleet = Fleet::new(nodes, descriptors);
-            fleet.advance(6 * S + delay * MS, true);
+            fleet.advance(6 * S + delay * MS);
             let used: BTreeSet<_> = fleet.playing.values().copied().collect();
             assert_eq!(used.len(), fleet.front.core.bounds.links, "not each place is taken");
             used.into_iter().take(vanishing).for_each(|address| fleet.vanish(address));
-            fleet.advance(8 * S, true);
+            fleet.advance(8 * S);
             fleet.assert_all_notified_in_time();
         }
     }
@@ -171,7 +171,7 @@
     for delay in [0, 777, 3_100] {
         let mut fleet = Fleet::new(12, 26);
         (1..=fleet.nodes).for_each(|id| fleet.hand_over(u64::from(1_000 + id), id));
-        fleet.advance(20 * S + delay * MS, true);
+        fleet.advance(20 * S + delay * MS);
         for id in [1_002, 1_011] {
             fleet.over.insert(id, (fleet.front.now, None));
             let address = fleet.playing[&id];
@@ -180,7 +180,7 @@
         }
         fleet.vanish(node(5, State::Ready).address.into());
         fleet.vanish(node(12, State::Ready).address.into());
-        fleet.advance(8 * S, true);
+        fleet.advance(8 * S);
         fleet.assert_all_notified_in_time();
     }
 }
@@ -191,14 +191,14 @@
 fn a_release_reaches_its_node_although_there_was_no_place_for_a_connection() {
     let mut fleet = Fleet::new(12, 26);
     (1..=fleet.nodes).for_each(|id| fleet.hand_over(u64::from(1_000 + id), id));
-    fleet.advance(S, true);
+    fleet.advance(S);
     let connected: BTreeSet<_> = fleet.links.values().copied().collect();
     let unconnected = fleet.playing.iter().filter(|(_, address)| !connected.contains(address));
     let released: Vec<_> = unconnected.map(|(id, _)| SessionId(*id)).collect();
     assert!(!released.is_empty(), "there is a place for each node");
     released.iter().for_each(|id| fleet.input(Input::Release(ConnId(1), *id)));
     let is_pending = !fleet.front.core.has_no_pending_work();
-    fleet.advance(6 * S, true);
+    fleet.advance(6 * S);
     for id in released {
         let release = ToNode::Release(id, 7, 31);
         assert!(sent_to_node(&fleet.front.out, &release), "{id:?} was not released at its node");
