--- a/review/lib2/whep2.py
+++ b/review/lib2/whep2.py
@@ -55,6 +55,7 @@
         self.lock = threading.RLock()
         self.standing, self.streams, self.set_ups, self.deleted = {}, [], 0, []
         self.patch_takes = 0.0
+        self.rungs, self.layer_requests, self.reset_layer_requests = {}, [], 0
         self.listener = None
         self.listen()
 
@@ -130,9 +131,11 @@
                 self.set_ups += 1
                 n, session = self.set_ups, uuid.uuid4().hex
                 self.standing[session] = time.monotonic()
+                self.rungs[session] = 0
             base = f"/s/{session}"
             links = [("link", f'<{base}/events>; rel="urn:ietf:params:whep:ext:core:server-sent-events"; '
-                              'events="inactive"')]
+                              'events="inactive"'),
+                     ("link", f'<{base}/layer>; rel="urn:ietf:params:whep:ext:core:layer"')]
             return self._send(sock, "201 Created",
                               [("content-type", "application/sdp"), ("location", base), ("etag", f'"e{n}"')] + links,
                               answer(n))
@@ -148,6 +151,17 @@
             time.sleep(self.patch_takes)
             self.record(self.name, f"answers PATCH {path} with 204")
             return self._send(sock, "204 No Content", [("etag", '"e1"')])
+        if method == "POST" and parts[2:] == ["layer"]:
+            with self.lock:
+                self.layer_requests.append((time.monotonic(), session))
+                if self.reset_layer_requests > 0:
+                    self.reset_layer_requests -= 1
+                    self.record(self.name, "the connection is reset under this request")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return False
+                self.rungs[session] = int(json.loads(body)["encodingId"])
+                self.record(self.name, f"{session} plays on rung {self.rungs[session]}")
+            return self._send(sock, "200 OK")
         if method == "POST" and parts[2:] == ["events"]:
             return self._send(sock, "201 Created", [("location", f"{path}/stream")])
         if method == "GET" and parts[2:] == ["events", "stream"]:
@@ -207,7 +221,7 @@
         return self.ask("POST", f"/whep/{title}?viewer=v{n}", [("content-type", "application/sdp")], offer(n), limit)
 
 
-def settings(cells, titles, more="", name="front", sections=""):
+def settings(cells, titles, more="", name="front", sections="", floor=0):
     text = f"""name {name}
 listen 127.0.0.1:0
 admin 127.0.0.1:0
@@ -229,6 +243,7 @@
 aim 800ms
 patience 4s
 repeat harmless
+{f"floor {floor}" if floor else ""}
 section kind std
 streams 200
 section rules
@@ -252,7 +267,7 @@
 class ServeFront:
     """`pepperhook serve` as a process: the program that `build` of the deploy file makes."""
 
-    def __init__(self, tmp, record, processes, nodes, titles, more="", name="front", sections=""):
+    def __init__(self, tmp, record, processes, nodes, titles, more="", name="front", sections="", floor=0):
         os.makedirs(os.path.join(tmp, name), exist_ok=True)
         tmp = os.path.join(tmp, name)
         self.list = os.path.join(tmp, "nodes.csv")
@@ -260,7 +275,7 @@
             f.write(HEADER + "".join(row(i, n) for i, n in enumerate(nodes)))
         conf = os.path.join(tmp, "front.conf")
         with open(conf, "w", encoding="utf-8") as f:
-            f.write(settings(len(nodes), titles, more, name, sections))
+            f.write(settings(len(nodes), titles, more, name, sections, floor))
         command = [os.path.join(ROOT, "target", "release", "pepperhook"), "serve", "-c", conf]
         self.process = Process(command, tmp, name, record, cwd=tmp)
         processes.append(self.process)
