--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,7 +29,9 @@
         node.patch_takes = NODE_TAKES_S
     for c, session, tag in viewers:
         c.send("PATCH", session, [("content-type", "application/trickle-ice-sdpfrag"), ("if-match", tag)], FRAGMENT)
-    # All of them have been read: their nodes have them.
+    # All of them have been taken: their nodes have them.
+    if not wait_until(lambda: sum(node.patches for node in nodes) == VIEWERS, 0.5):
+        raise NotRun("the nodes did not get the requests in time")
     time.sleep(0.2)
     if trouble():
         front.process.send(signal.SIGTERM)
--- a/review/lib2/whep2.py
+++ b/review/lib2/whep2.py
@@ -54,7 +54,7 @@
         self.name, self.record, self.port = name, record, free_port()
         self.lock = threading.RLock()
         self.standing, self.streams, self.set_ups, self.deleted = {}, [], 0, []
-        self.patch_takes = 0.0
+        self.patch_takes, self.patches = 0.0, 0
         self.rungs, self.layer_requests, self.reset_layer_requests = {}, [], 0
         self.listener = None
         self.listen()
@@ -148,6 +148,8 @@
                 self.deleted.append(session)
             return self._send(sock, "200 OK")
         if method == "PATCH":
+            with self.lock:
+                self.patches += 1
             time.sleep(self.patch_takes)
             self.record(self.name, f"answers PATCH {path} with 204")
             return self._send(sock, "204 No Content", [("etag", '"e1"')])
