Review case 6: a paid session is set up twice while its front stops

Six viewers of a class that is never to be repeated retry 0.6 s after their first request; refused with 503, they turn to a second front, and each session runs twice.

--- a/review/lib2/whep2.py
+++ b/review/lib2/whep2.py
@@ -56,6 +56,7 @@
         self.standing, self.streams, self.set_ups, self.deleted = {}, [], 0, []
         self.set_up_times = []
         self.patch_takes, self.patches = 0.0, 0
+        self.set_up_takes, self.offers = 0.0, []
         self.rungs, self.layer_requests, self.reset_layer_requests = {}, [], 0
         self.listener = None
         self.listen()
@@ -108,9 +109,12 @@
             with self.lock:
                 self.set_ups += 1
                 self.set_up_times.append(time.monotonic())
+                self.offers.append(body)
                 n, session = self.set_ups, uuid.uuid4().hex
                 self.standing[session] = time.monotonic()
                 self.rungs[session] = 0
+            time.sleep(self.set_up_takes)
+            self.record(self.name, f"answers set-up {n}: it plays")
             base = f"/s/{session}"
             links = [("link", f'<{base}/events>; rel="urn:ietf:params:whep:ext:core:server-sent-events"; '
                               'events="inactive"'),
@@ -198,11 +202,15 @@
         self.send(method, path, fields, body)
         return self.read(limit)
 
+    def ask_to_play(self, title, n):
+        self.send("POST", f"/whep/{title}?viewer=v{n}", [("content-type", "application/sdp")], offer(n))
+
     def play(self, title, n, limit=6):
-        return self.ask("POST", f"/whep/{title}?viewer=v{n}", [("content-type", "application/sdp")], offer(n), limit)
+        self.ask_to_play(title, n)
+        return self.read(limit)
 
 
-def settings(cells, titles, more="", name="front", sections="", floor=0):
+def settings(cells, titles, more="", name="front", sections="", floor=0, repeat="harmless"):
     text = f"""name {name}
 listen 127.0.0.1:0
 admin 127.0.0.1:0
@@ -223,7 +231,7 @@
 section class replay
 aim 800ms
 patience 4s
-repeat harmless
+repeat {repeat}
 {f"floor {floor}" if floor else ""}
 section kind std
 streams 200
@@ -249,7 +257,7 @@
     """`pepperhook serve` as a process: the program that `build` of the deploy file makes."""
 
     def __init__(self, tmp, record, processes, nodes, titles, more="", name="front", sections="", floor=0,
-                 cells=None, rows=None):
+                 cells=None, rows=None, repeat="harmless"):
         os.makedirs(os.path.join(tmp, name), exist_ok=True)
         tmp = os.path.join(tmp, name)
         self.list = os.path.join(tmp, "nodes.csv")
@@ -257,7 +265,7 @@
             f.write(rows or HEADER + "".join(row(i, n) for i, n in enumerate(nodes)))
         conf = os.path.join(tmp, "front.conf")
         with open(conf, "w", encoding="utf-8") as f:
-            f.write(settings(cells or len(nodes), titles, more, name, sections, floor))
+            f.write(settings(cells or len(nodes), titles, more, name, sections, floor, repeat))
         command = [os.path.join(ROOT, "target", "release", "pepperhook"), "serve", "-c", conf]
         self.process = Process(command, tmp, name, record, cwd=tmp)
         processes.append(self.process)
