--- a/review/9/case.py
+++ b/review/9/case.py
@@ -46,4 +46,4 @@
     return []
 
 
-main(os.path.dirname(os.path.abspath(__file__)), case)
+main(case)
--- a/review/lib2/common.py
+++ b/review/lib2/common.py
@@ -21,10 +21,10 @@
 class Record:
     """record.txt: one line for each thing that was sent, answered or run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.began
@@ -100,9 +100,10 @@
         self.child.wait()
 
 
-def main(folder, case):
-    """Runs `case(record, temporary_folder, processes)`, which returns a list of breaches, and exits 0, 1 or 2."""
-    record, processes = Record(folder), []
+def main(case):
+    """Runs `case(record, temporary_folder, processes)`, which returns a list of breaches, and exits 0, 1 or 2. The
+    script's argument is the path of its record."""
+    record, processes = Record(sys.argv[1]), []
     record("case", f"trouble: {'yes' if trouble() else 'no'}")
     try:
         with tempfile.TemporaryDirectory(prefix="pepperhook-review-") as tmp:
