Platform: a change log that answers slowly is heard, not given up each time

Cause: backoff.rs counted the 2.3 s of silence from the question on, and changelog_client.rs closed the silent connection before the next one was dialled; so no answer slower than that could arrive. Frames in pieces and heartbeats ahead of their events met the same rule.

--- a/crates/platform/src/backoff.rs
+++ b/crates/platform/src/backoff.rs
@@ -44,16 +44,20 @@
 }
 
 /// A connection counts as silent after this time; the log sends a complete frame every second.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_300);
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_300);
 /// Slowest acceptable transfer of a frame, in bytes per second; a frame in progress has that much longer. The longest
 /// one, 540 kB, may take 19 s from the frame before it.
 const MIN_BYTES_PER_SECOND: u32 = 32 * 1024;
 
 /// Deadline by which a change log must send the next complete frame. Counting any byte would let a log that trickles bytes
 /// keep the connection for ever; counting complete frames alone would never let a long list through a slow link. All
-/// times are relative to the start of the connection.
-#[derive(Debug, Default)]
+/// times are relative to the question to the log.
+#[derive(Debug)]
 pub struct SilenceDeadline {
+    /// Time in which the first frame may come without any byte before it.
+    answer_timeout: Duration,
+    /// No frame is complete yet.
+    awaits_answer: bool,
     /// When the last frame was complete.
     last_frame: Duration,
     /// When the last byte came.
@@ -63,6 +67,17 @@
 }
 
 impl SilenceDeadline {
+    /// Starts with the question, whose answer must begin within this time.
+    pub fn new(answer_timeout: Duration) -> Self {
+        Self {
+            answer_timeout,
+            awaits_answer: true,
+            last_frame: Duration::ZERO,
+            last_byte: Duration::ZERO,
+            frame_length: 0,
+        }
+    }
+
     /// Records that bytes were received.
     pub fn bytes_received(&mut self, at: Duration) {
         self.last_byte = at;
@@ -70,7 +85,7 @@
 
     /// Records that a frame is complete.
     pub fn frame_completed(&mut self, at: Duration) {
-        self.last_frame = at;
+        (self.last_frame, self.awaits_answer) = (at, false);
     }
 
     /// Sets the length in bytes of the frame in progress; 0 if there is none or its length is not known yet.
@@ -80,10 +95,16 @@
 
     /// The time at which the connection counts as silent, unless more is received before.
     pub fn deadline(&self) -> Duration {
+        let deadline = (self.last_byte + SILENCE_TIMEOUT).min(self.frame_deadline(SILENCE_TIMEOUT));
+        if self.awaits_answer { deadline.max(self.answer_timeout) } else { deadline }
+    }
+
+    /// The end of this time after the last complete frame, plus the slowest acceptable transfer of the one in progress.
+    pub fn frame_deadline(&self, timeout: Duration) -> Duration {
         let transfer_time = Duration::from_secs(1)
             .saturating_mul(u32::try_from(self.frame_length).unwrap_or(u32::MAX))
             / MIN_BYTES_PER_SECOND;
-        (self.last_byte + SILENCE_TIMEOUT).min(self.last_frame + SILENCE_TIMEOUT + transfer_time)
+        self.last_frame + timeout + transfer_time
     }
 }
 
--- a/crates/platform/src/backoff/tests.rs
+++ b/crates/platform/src/backoff/tests.rs
@@ -101,7 +101,7 @@
         length in 0usize..540_009,
         gaps in prop::collection::vec(1u64..2_299, 1..400),
     ) {
-        let (mut silence, mut now) = (SilenceDeadline::default(), Duration::ZERO);
+        let (mut silence, mut now) = (SilenceDeadline::new(SILENCE_TIMEOUT), Duration::ZERO);
         silence.set_frame_length(length);
         for gap in gaps {
             now += ms(gap);
@@ -116,7 +116,7 @@
 
 #[test]
 fn silence_counts_from_the_last_complete_frame_and_a_long_frame_has_its_transfer_time() {
-    let mut silence = SilenceDeadline::default();
+    let mut silence = SilenceDeadline::new(SILENCE_TIMEOUT);
     assert_eq!(silence.deadline(), ms(2_300), "from the start of the connection");
     silence.bytes_received(ms(1_000));
     silence.frame_completed(ms(1_000));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,8 +5,8 @@
 //! - `viewer`, `node`: codecs between RTSP messages and the core's values; `wire` has what they share.
 //! - `shell`: sockets, timers, the change log and signals, on tokio's current-thread runtime; `peer` is one connection.
 //! - [`config`]: the configuration that the platform writes, at the start and on reload.
-//! - `changelog_client`: follows the change log; `backoff` has its pauses and deadlines, `node_filter` selects the nodes
-//!   that the core gets.
+//! - `changelog_client`: follows the change log; `subscriptions` decides which connections to it are open, `backoff` has
+//!   their pauses and deadlines, `node_filter` selects the nodes that the core gets.
 //!
 //! Dependencies go one way: codecs and shell depend on the core, the core on neither.
 
@@ -18,6 +18,7 @@
 mod node_filter;
 mod peer;
 mod shell;
+mod subscriptions;
 mod viewer;
 mod wire;
 
