Serve: the memory of request bodies is bounded over all clients together

What callers saw: 800 clients with 59 of 60 kB of an offer each took 104 MB, and only max-connections bounded the sum; the process would be killed for memory.

Cause: read_body in http.rs bounds each body by size and time, nothing bounded their sum; the engine kept the offers of playing sessions as well.

Change: body_budget.rs, 4 KiB for each of max-waiting. A playing session keeps only the user fragment.

--- a/crates/front/src/console.rs
+++ b/crates/front/src/console.rs
@@ -111,12 +111,12 @@
     let method = request.method().clone();
     let name = request.uri().path().strip_prefix("/peaks/").map(str::to_owned);
     let name = name.map(|n| percent_encoding::percent_decode_str(&n).decode_utf8_lossy().into_owned());
-    let bytes = match read_body(request.into_body(), &shell.config.limits).await {
-        Ok(bytes) => bytes,
+    let body = match read_body(request.into_body(), &shell.config.limits, &shell.body_budget).await {
+        Ok(body) => body,
         Err(p) => return problem(&p),
     };
     let parsed = || {
-        serde_json::from_slice::<Announcement>(&bytes)
+        serde_json::from_slice::<Announcement>(&body)
             .map_err(|e| Problem::new(422, "announcement", "Not an announcement", e.to_string()))
     };
     let (announcement, amends) = match (method, name) {
--- a/crates/front/src/console_policy.rs
+++ b/crates/front/src/console_policy.rs
@@ -39,13 +39,13 @@
     let decode = |t: &str| percent_encoding::percent_decode_str(t).decode_utf8_lossy().into_owned();
     let query = request.uri().query().unwrap_or("").split('&').filter_map(|p| p.split_once('='));
     let query: Query = query.map(|(k, v)| (k.to_owned(), decode(v))).collect();
-    let bytes = match read_body(request.into_body(), &shell.config.limits).await {
-        Ok(bytes) => bytes,
+    let body = match read_body(request.into_body(), &shell.config.limits, &shell.body_budget).await {
+        Ok(body) => body,
         Err(p) => return problem(&p),
     };
     let result = match path.as_str() {
         "/voters" => change_voters(shell, &query),
-        _ => change_policy(shell, &query, &bytes).await,
+        _ => change_policy(shell, &query, &body).await,
     };
     result.unwrap_or_else(|p| problem(&p))
 }
--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -81,6 +81,8 @@
     resource: String,
     /// The answer, repeated for duplicates of the request.
     answer: Answer,
+    /// The user fragment of the viewer's offer.
+    offered_ufrag: Option<String>,
     /// The ICE session after the latest restart: the viewer's user fragment and the entity tag.
     restarted_ice: Option<(String, Option<String>)>,
 }
@@ -286,9 +288,7 @@
         let session = self.resources.get(resource).and_then(|id| self.sessions.get(id))?;
         let p = session.playing.as_ref()?;
         let Answer::Created { etag, .. } = &p.answer else { return None };
-        let direction = if session.request.publish { Direction::Send } else { Direction::Receive };
-        let original = || Some((Offer::parse(&session.request.offer, direction).ok()?.ufrag, etag.clone()));
-        p.restarted_ice.clone().or_else(original)
+        p.restarted_ice.clone().or_else(|| Some((p.offered_ufrag.clone()?, etag.clone())))
     }
 
     /// The nodes of the list.
@@ -662,6 +662,10 @@
         let (etag, ice) = (created.etag, created.ice);
         let answer = Answer::Created { resource: resource.clone(), etag, sdp: created.answer, ice };
         let (rung, layer) = (session.rung, created.layer.clone());
+        let direction = if session.request.publish { Direction::Send } else { Direction::Receive };
+        // Of the offer only this is needed from now on, and thousands of long ones would exhaust the memory.
+        let offer = std::mem::take(&mut session.request.offer);
+        let offered_ufrag = Offer::parse(&offer, direction).ok().map(|offer| offer.ufrag);
         let tickets = std::mem::take(&mut session.tickets);
         let (viewer, title, publish, class) =
             (session.request.viewer, session.request.title, session.request.publish, session.request.class);
@@ -673,6 +677,7 @@
             layer: created.layer,
             resource: resource.clone(),
             answer: answer.clone(),
+            offered_ufrag,
             restarted_ice: None,
         });
         self.viewers.set_playing(viewer, session_id);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `upstream`: WHIP and WHEP client for the nodes.
 //! - `console`: the operators' page and the interface for announced peaks.
 //! - `console_policy`: the operators' interface for the agreed policy and the voters.
-//! - `http`: HTTP parts that both listeners use.
+//! - `http`: HTTP parts that both listeners use; `body_budget` bounds the memory of request bodies.
 //! - `fleet_io`: datagrams between fronts (announced peaks, membership, duties, copies) and the store of records.
 //! - `agreement`: a voter's store, agreed policies, and the fence of a front that cannot know what was agreed.
 //! - `clock`: the clock for messages between fronts.
@@ -14,6 +14,7 @@
 //! Dependencies go one way: the other modules use the engine, and the engine uses none of them.
 
 mod agreement;
+mod body_budget;
 mod clock;
 mod console;
 mod console_policy;
--- a/crates/front/src/session_api.rs
+++ b/crates/front/src/session_api.rs
@@ -255,12 +255,13 @@
         return Err(wrong_type(SDP_TYPE));
     }
     let mut ask = set_up_request(shell, publish, title, &request, token)?;
-    let offer = read_body(request.into_body(), &shell.config.limits).await?;
+    // Held, and counted, until the request has its answer.
+    let offer = read_body(request.into_body(), &shell.config.limits, &shell.body_budget).await?;
     let direction = if publish { Direction::Send } else { Direction::Receive };
     let parsed = Offer::parse(&offer, direction)
         .map_err(|e| Problem::new(400, "offer", "The offer cannot be served", e.to_string()))?;
     ask.offer_hash = name_hash(&parsed.raw);
-    ask.offer = offer;
+    ask.offer = offer.bytes.clone();
     let span = info_span!("session", title, viewer = format!("{:016x}", ask.viewer.0), publish);
     let (answer, policy) = async {
         let (answer, policy) = shell.request(|ticket| Input::Post(ticket, ask)).await;
@@ -368,8 +369,8 @@
     if if_match.is_none() && !is_answer && !shell.config.lenient_if_match {
         return Err(no_if_match());
     }
-    let bytes = read_body(request.into_body(), &shell.config.limits).await?;
-    let fragment = if is_answer { None } else { Some(Fragment::parse(&bytes)) };
+    let body = read_body(request.into_body(), &shell.config.limits, &shell.body_budget).await?;
+    let fragment = if is_answer { None } else { Some(Fragment::parse(&body)) };
     let fragment =
         fragment.transpose().map_err(|e| Problem::new(422, "fragment", "Bad fragment", e.to_string()))?;
     // RFC 9725, 4.3.1 requires the header ("MUST"), but many players trickle without it. A fragment with the user fragment
@@ -388,7 +389,8 @@
         _ => return Err(unknown_session()),
     };
     let kind = if is_answer { SDP_TYPE } else { FRAGMENT_TYPE };
-    let forwarded = shell.upstream().patch(node, &path, kind, tag.as_deref(), bytes, PATCH_TIMEOUT).await;
+    let forwarded =
+        shell.upstream().patch(node, &path, kind, tag.as_deref(), body.bytes.clone(), PATCH_TIMEOUT).await;
     let (status, etag, kind, bytes) = forwarded.map_err(|_| {
         Problem::new(
             504,
@@ -417,8 +419,8 @@
     if !is_type(request.headers(), "application/json") {
         return Err(wrong_type("application/json"));
     }
-    let bytes = read_body(request.into_body(), &shell.config.limits).await?;
-    let wanted: Result<Vec<String>, _> = serde_json::from_slice(&bytes);
+    let body = read_body(request.into_body(), &shell.config.limits, &shell.body_budget).await?;
+    let wanted: Result<Vec<String>, _> = serde_json::from_slice(&body);
     wanted.map_err(|_| Problem::new(400, "events", "Bad list", "a JSON list of event names is expected"))?;
     match shell.route(id).0 {
         Route::Node(..) => {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -1,6 +1,7 @@
 //! Runs the engine on tokio: feeds it inputs, executes the effects that it returns, and runs its timers. All decisions
 //! are made in the engine.
 
+use crate::body_budget::BodyBudget;
 use crate::clock::FleetClock;
 use crate::engine::types::*;
 use crate::engine::{Engine, Snapshot};
@@ -11,7 +12,7 @@
 use pepperhook::{ServerId, Time};
 use pepperhook_inventory::{InventoryWatcher, Node, PollResult};
 use pepperhook_net::Clock;
-use pepperhook_settings::Config;
+use pepperhook_settings::{Config, Limits};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -33,6 +34,11 @@
 /// Time for open connections to end after that.
 const FINAL_CONNECTIONS_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Memory for the bodies of all requests together, bytes for each request that may wait.
+const BODY_BYTES_PER_WAITING: usize = 4 << 10;
+/// Number of bodies of the largest size for which there is always memory.
+const MIN_LARGEST_BODIES: usize = 8;
+
 /// An answer, and the version of the agreed policy under which it was decided, if any.
 type AnswerWithPolicy = (Answer, Option<u64>);
 
@@ -50,6 +56,8 @@
     pub fleet_clock: FleetClock,
     /// Key that opens the console.
     pub admin_key: String,
+    /// Memory for request bodies, of both listeners.
+    pub body_budget: BodyBudget,
     engine: RefCell<Engine>,
     next_ticket: Cell<u64>,
     /// HTTP requests that wait for the engine's answer.
@@ -326,6 +334,12 @@
     }
 }
 
+/// Memory for the bodies of all requests together, bytes.
+fn body_budget_bytes(limits: &Limits) -> usize {
+    let for_waiting = limits.waiting.saturating_mul(BODY_BYTES_PER_WAITING);
+    for_waiting.max(limits.body.saturating_mul(MIN_LARGEST_BODIES))
+}
+
 /// A running front with its listeners.
 pub struct Front {
     shell: Rc<Shell>,
@@ -363,6 +377,7 @@
             fleet_clock,
             fleet_io,
             admin_key: key,
+            body_budget: BodyBudget::new(body_budget_bytes(&config.limits)),
             engine: RefCell::new(engine),
             next_ticket: Cell::new(1),
             waiting: RefCell::default(),
