Serve: no set-up begins for a client that closed with requests unread

What callers saw: of 150 pipelined set-ups whose client closed after 0.15 s, one began after the close, and sessions stood at nodes that no client knew of.

Cause: hyper looks for the end of a connection only while nothing is unread, so pipelined requests hid it; and an answer sent to a request that was dropped before it took it was lost (shell.rs).

An answer that was not taken is undelivered, and its session ends.

--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -1,14 +1,15 @@
 //! HTTP parts that both listeners use: responses, request bodies within their limits, and the accept loop.
 
 use crate::body_budget::{BodyBudget, Reservation};
+use crate::shared_stream::{ClientPresence, SharedStream};
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{self, Parts};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pepperhook_settings::Limits;
 use pepperhook_signalling::{PROBLEM_JSON, Problem};
@@ -17,6 +18,7 @@
 use std::ops::Deref;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -224,10 +226,17 @@
     // Set once a response had `Connection: close`; no further response may follow it.
     let close_announced: Rc<Cell<bool>> = Rc::default();
     let (service_phase, announced) = (phase.clone(), close_announced.clone());
-    let service = service_fn(move |request| {
-        let (answer, phase, announced) = (handler(request), service_phase.clone(), announced.clone());
+    let stream = Arc::new(stream);
+    let client = ClientPresence::new(stream.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (phase, announced, client) = (service_phase.clone(), announced.clone(), client.clone());
+        let ends_something = request.method() == Method::DELETE;
+        let answer = handler(request);
         Box::pin(async move {
-            let mut response = answer.await;
+            let mut response = match ends_something {
+                true => answer.await,
+                false => answer_present_client(&client, answer).await,
+            };
             if *phase.borrow() >= Phase::Stopping {
                 set_header(&mut response, "connection", "close");
                 announced.set(true);
@@ -239,7 +248,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_nanos(limits.head_timeout))
         .max_buf_size(limits.head)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(SharedStream(stream)), service);
     let ended_cleanly = {
         let mut served = std::pin::pin!(std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)));
         let mut stopped = phase.clone();
@@ -272,8 +281,28 @@
     if *phase.borrow() == Phase::Serving || !ended_cleanly {
         return;
     }
-    let parts = connection.into_parts();
-    close_connection(parts.io.into_inner(), !parts.read_buf.is_empty(), close_announced.get()).await;
+    let Parts { io, read_buf, service, .. } = connection.into_parts();
+    // It watches the socket too.
+    drop(service);
+    if let Some(stream) = Arc::into_inner(io.into_inner().0) {
+        close_connection(stream, !read_buf.is_empty(), close_announced.get()).await;
+    }
+}
+
+/// Waits for the answer as long as the client is there. Dropping the answer withdraws the request, and an answer that has
+/// not begun starts nothing: hyper reads requests that a client wrote ahead of its close one by one, long after the close.
+async fn answer_present_client<R>(client: &ClientPresence, answer: R) -> Response<ResponseBody>
+where
+    R: Future<Output = Response<ResponseBody>>,
+{
+    if client.has_left() {
+        return response(503, "", Bytes::new());
+    }
+    tokio::select! {
+        biased;
+        () = client.left() => response(503, "", Bytes::new()),
+        answered = answer => answered,
+    }
 }
 
 /// Closes a connection in order: answers a late request by [`LATE_RESPONSE`], unless a response has announced the close,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `console`: the operators' page and the interface for announced peaks.
 //! - `console_policy`: the operators' interface for the agreed policy and the voters.
 //! - `http`: HTTP parts that both listeners use; `body_budget` bounds the memory of request bodies.
+//! - `shared_stream`: a socket that several parts watch, and whether the client at its other end is still there.
 //! - `fleet_io`: datagrams between fronts (announced peaks, membership, duties, copies) and the store of records.
 //! - `agreement`: a voter's store, agreed policies, and the fence of a front that cannot know what was agreed.
 //! - `clock`: the clock for messages between fronts.
@@ -22,6 +23,7 @@
 mod fleet_io;
 mod http;
 mod session_api;
+mod shared_stream;
 mod shell;
 mod upstream;
 
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -78,17 +78,33 @@
     work_done: Notify,
 }
 
-/// Guard of a waiting request: dropped unanswered, when the client's connection closes, it withdraws the request.
-pub struct PendingRequest {
+/// A waiting request: dropped unanswered, when the client's connection closes, it withdraws the request.
+struct PendingRequest {
     shell: Rc<Shell>,
     ticket: Ticket,
+    answer: oneshot::Receiver<AnswerWithPolicy>,
     answered: bool,
 }
 
+impl PendingRequest {
+    async fn answer(mut self) -> AnswerWithPolicy {
+        let answer = (&mut self.answer).await.unwrap_or((Answer::Failed, None));
+        self.answered = true;
+        answer
+    }
+}
+
 impl Drop for PendingRequest {
     fn drop(&mut self) {
-        if !self.answered && self.shell.waiting.borrow_mut().remove(&self.ticket).is_some() {
-            self.shell.drive(Input::Disconnected(self.ticket));
+        if self.answered {
+            return;
+        }
+        if self.shell.waiting.borrow_mut().remove(&self.ticket).is_some() {
+            return self.shell.drive(Input::Disconnected(self.ticket));
+        }
+        // The answer was given, and its client left before it was taken: nobody knows of the session.
+        if let Ok((Answer::Created { resource, .. }, _)) = self.answer.try_recv() {
+            self.shell.drive(Input::Undelivered(resource));
         }
     }
 }
@@ -104,14 +120,12 @@
     /// Passes a request to the engine and waits for its one answer.
     pub async fn request(self: &Rc<Self>, input: impl FnOnce(Ticket) -> Input) -> AnswerWithPolicy {
         let ticket = Ticket(self.next_ticket.replace(self.next_ticket.get() + 1));
-        let (sender, receiver) = oneshot::channel();
+        let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
-        let mut pending = PendingRequest { shell: self.clone(), ticket, answered: false };
+        let pending = PendingRequest { shell: self.clone(), ticket, answer, answered: false };
         crate::agreement::update_fence(self);
         self.drive(input(ticket));
-        let answer = receiver.await.unwrap_or((Answer::Failed, None));
-        pending.answered = true;
-        answer
+        pending.answer().await
     }
 
     /// Where to forward a request on a session: its route, and the address of the node.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the nodes: WHIP and WHEP over HTTP/1.1, with a pool of keep-alive connections per node.
 
 use crate::engine::types::{AttemptEnd, Created, NodeEvent, StreamEnd};
+use crate::shared_stream::SharedStream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -15,14 +16,10 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 use tracing::warn;
@@ -40,45 +37,6 @@
 /// An event stream without data for this time counts as broken; nodes send a comment every second.
 const EVENT_STREAM_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A socket that can be shut down or reset through another handle while hyper reads and writes it.
-struct SharedStream(Arc<TcpStream>);
-
-impl AsyncRead for SharedStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for SharedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(bytes) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
-    }
-}
-
 /// Handle of the connection that carries one request, to close or reset it from outside the task that sends it.
 #[derive(Clone, Default)]
 pub struct AttemptHandle(Rc<HandleState>);
