Platform: sessions end whose node's address another process has taken over

What callers saw: a node fell silent, another process listened at its address 0.3 s later without an event, and 31 of 31 sessions of the old process were not released 13 s later (limit 8 s).

Cause: signs of life were kept for the node, not for the connection they came on; a dial that came up (liveness.rs, confirm_alive) cleared the doubt about sessions set up over the silent ones.

Change: core/takeover.rs compares connections opened before and after an unanswered question: the old one is asked again and half-closed, and if it stays silent while a newer one is heard, the old process is over. A stall, one lost answer and rested connections are no evidence.

Without traffic after the silence the sessions still stand.

--- a/crates/platform/src/core/incarnations.rs
+++ b/crates/platform/src/core/incarnations.rs
@@ -8,6 +8,7 @@
 use super::links::LinkState;
 use super::liveness::Suspicion;
 use super::playing::CAUSE_BROKEN;
+use super::takeover::TakeoverCheck;
 use super::*;
 use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
 use pepperhook_changelog::{Entry, State};
@@ -37,6 +38,7 @@
     /// When a message or another sign of life was last received.
     pub last_heard: Time,
     pub suspicion: Option<Suspicion>,
+    pub takeover_check: Option<TakeoverCheck>,
     /// Releases to send on the next connection that comes up.
     pub pending_releases: VecDeque<ToNode>,
 }
@@ -122,6 +124,7 @@
             playing: BTreeSet::new(),
             last_heard: now,
             suspicion: None,
+            takeover_check: None,
             pending_releases: VecDeque::new(),
         };
         self.incarnations.insert(incarnation, new);
@@ -166,7 +169,7 @@
     }
 
     /// Since when a session plays, and whether it was handed over then.
-    fn playing_since(&self, id: SessionId) -> Option<(Time, bool)> {
+    pub(super) fn playing_since(&self, id: SessionId) -> Option<(Time, bool)> {
         let s = self.sessions.get(&id)?;
         let Phase::Playing(_, since) = s.phase else { return None };
         Some((since, s.request.playing_at.is_some()))
@@ -260,7 +263,7 @@
     }
 
     /// Closes a connection to a process that has ended.
-    fn close_dead_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
+    pub(super) fn close_dead_link(&mut self, link: LinkId, out: &mut Vec<Effect>) {
         let set_ups = self.links.get(&link).map(|l| l.set_ups.clone()).unwrap_or_default();
         for id in set_ups {
             let unsent = |a: &Attempt| matches!(a.stage, Stage::Dialling(_) | Stage::CheckingViewer(_));
@@ -273,7 +276,7 @@
     /// Ends all attempts, connections and sessions of an incarnation.
     pub(super) fn end_incarnation(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
-        (node.dead, node.suspicion) = (true, None);
+        (node.dead, node.suspicion, node.takeover_check) = (true, None, None);
         let (links, playing) = (node.links.clone(), node.playing.clone());
         let retired = node.retired;
         self.end_lost_attempts(incarnation, Outcome::Broken);
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -41,6 +41,10 @@
     pub blocked: bool,
     /// When a message was last sent or received on it.
     pub last_used: Time,
+    /// When a message was last received on it.
+    pub heard_at: Option<Time>,
+    /// When the first message was sent that awaits an answer, since the last one was received.
+    pub unanswered_since: Option<Time>,
     /// Set-ups in flight on it or waiting for it.
     pub set_ups: BTreeSet<SessionId>,
     probes: BTreeSet<ProbeId>,
@@ -136,6 +140,8 @@
             carried_set_up: false,
             blocked: false,
             last_used: now,
+            heard_at: None,
+            unanswered_since: None,
             set_ups: BTreeSet::new(),
             probes: BTreeSet::new(),
             queue: Vec::new(),
@@ -155,6 +161,7 @@
 
     pub(super) fn drop_link(&mut self, link: LinkId) -> Option<Link> {
         let l = self.links.remove(&link)?;
+        self.end_takeover_check(l.incarnation, link);
         if let Some(incarnation) = self.incarnations.get_mut(&l.incarnation) {
             incarnation.links.remove(&link);
         }
@@ -200,6 +207,9 @@
     pub(super) fn send(&mut self, now: Time, link: LinkId, message: ToNode, out: &mut Vec<Effect>) {
         if let Some(l) = self.links.get_mut(&link).filter(|l| l.is_up()) {
             l.last_used = now;
+            if message.awaits_answer() {
+                l.unanswered_since.get_or_insert(now);
+            }
             if matches!(message, ToNode::Release(..)) {
                 l.release_sent(now, message.clone());
             }
@@ -400,13 +410,15 @@
     pub(super) fn node_message(&mut self, now: Time, link: LinkId, message: FromNode, out: &mut Vec<Effect>) {
         let Some(l) = self.links.get_mut(&link) else { return };
         (l.last_used, l.blocked) = (now, false);
+        (l.heard_at, l.unanswered_since) = (Some(now), None);
         if let FromNode::Acknowledged(id) | FromNode::SessionEnded(id, ..) = &message {
             l.release_acknowledged(*id);
         }
-        let incarnation = l.incarnation;
+        let (incarnation, opened_at) = (l.incarnation, l.opened_at);
         if let Some(incarnation) = self.incarnations.get_mut(&incarnation) {
             incarnation.last_heard = now;
         }
+        self.note_for_takeover_check(now, incarnation, opened_at);
         match message {
             FromNode::Started(id, body) => self.set_up_succeeded(now, link, id, body, out),
             FromNode::SetUpFailed(id, outcome, report) => self.set_up_failed(link, id, outcome, report),
@@ -443,7 +455,8 @@
         if !self.links.get(&link).is_some_and(Link::is_half_closed) {
             return self.link_down(now, link, out);
         }
-        let Some(incarnation) = self.drop_link(link).map(|l| l.incarnation) else { return };
+        let Some(Link { incarnation, opened_at, .. }) = self.drop_link(link) else { return };
+        self.note_for_takeover_check(now, incarnation, opened_at);
         let Some(l) = self.incarnations.get_mut(&incarnation) else { return };
         l.last_heard = now;
         if l.links.is_empty() {
@@ -458,6 +471,9 @@
             return;
         };
         let (incarnation, since) = (*incarnation, *since);
+        if self.is_under_takeover_check(link) {
+            return;
+        }
         self.close_link(link, out);
         if self
             .incarnations
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -10,6 +10,7 @@
 //! - `links`: connections to nodes.
 //! - `places`: which connections may be dialled when almost all descriptors are in use.
 //! - `liveness`: evidence of which nodes are alive.
+//! - `takeover`: evidence that another process has taken over a node's address.
 
 mod attempts;
 mod incarnations;
@@ -18,6 +19,7 @@
 mod places;
 mod playing;
 mod requests;
+mod takeover;
 #[cfg(test)]
 mod tests;
 mod types;
@@ -106,6 +108,10 @@
     Redial(IncarnationId),
     /// The time by which a node should have closed a half-closed connection.
     HalfCloseTimeout(LinkId),
+    /// The end of a check whether another process has taken over the address of this connection's node.
+    TakeoverCheckLimit(LinkId),
+    /// The time at which such a check of a node has its result.
+    TakeoverVerdict(IncarnationId),
     /// The time by which the list should have named the node of a session that was handed over.
     HandoverTimeout(SessionId),
     /// The next sweep.
@@ -288,6 +294,8 @@
                 Wake::ProbeTimeout(id) => self.probe_timed_out(now, id, out),
                 Wake::Redial(incarnation) => self.redial(now, incarnation, out),
                 Wake::HalfCloseTimeout(link) => self.half_close_timed_out(now, link, out),
+                Wake::TakeoverCheckLimit(link) => self.takeover_check_timed_out(link, out),
+                Wake::TakeoverVerdict(incarnation) => self.takeover_verdict(now, incarnation, out),
                 Wake::HandoverTimeout(id) => self.handover_timed_out(now, id, out),
                 Wake::Sweep => self.sweep(now, out),
             }
@@ -361,6 +369,7 @@
         self.set_timer(now + SWEEP_INTERVAL, Wake::Sweep);
         self.sweep_links(now, out);
         self.sweep_incarnations(now, out);
+        self.check_takeovers(now, out);
         self.send_unsent_ends(now, out);
         self.early_ends.retain(|_, e| e.received_at + ENDED_RETENTION > now);
         while self.ended_order.front().is_some_and(|id| {
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -131,6 +131,14 @@
     Acknowledge(SessionId),
 }
 
+impl ToNode {
+    /// Whether the node owes an answer to it.
+    #[must_use]
+    pub fn awaits_answer(&self) -> bool {
+        matches!(self, Self::SetUp { .. } | Self::QueryLoad(_))
+    }
+}
+
 impl fmt::Debug for ToNode {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
