Platform: sessions that one client invents leave room for those of others

Cause: what is handed over is believed, up to 16,384 sessions at nodes that play 200 each, and all counted as load (playing.rs, adopt_session).

Change: core/handover.rs, parted from playing.rs, accepts at a node its streams at most and half of them on one connection; the same half of the places that wait for a late list.

--- a/crates/platform/src/core/incarnations.rs
+++ b/crates/platform/src/core/incarnations.rs
@@ -22,6 +22,8 @@
 pub struct Incarnation {
     pub server: ServerId,
     pub address: SocketAddrV4,
+    /// Number of sessions that it can play.
+    pub max_streams: usize,
     /// Start of the process by the list, Unix time in milliseconds.
     pub started_ms: u64,
     pub state: State,
@@ -109,12 +111,19 @@
         self.pending.push_back(Event::ListFull(entries.iter().map(server_entry).collect()));
     }
 
+    /// Maximum number of streams on a node; an unknown kind counts as the last one.
+    fn max_streams(&self, kind: u16) -> usize {
+        let kinds = &self.kind_max_streams;
+        kinds.get(usize::from(kind)).or(kinds.last()).map_or(usize::MAX, |streams| *streams as usize)
+    }
+
     fn add_incarnation(&mut self, now: Time, e: &Entry) {
         let incarnation = IncarnationId(self.fresh_number());
         self.current.insert(ServerId(e.id), incarnation);
         let new = Incarnation {
             server: ServerId(e.id),
             address: e.address,
+            max_streams: self.max_streams(e.kind),
             started_ms: e.started_ms,
             state: e.state,
             retired: false,
@@ -139,8 +148,9 @@
         e: &Entry,
         out: &mut Vec<Effect>,
     ) {
+        let max_streams = self.max_streams(e.kind);
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
-        node.state = e.state;
+        (node.state, node.max_streams) = (e.state, max_streams);
         if node.started_ms >= e.started_ms {
             return;
         }
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -5,7 +5,8 @@
 //!
 //! - `requests`: every request gets exactly one answer.
 //! - `attempts`: at most one attempt per request is in flight.
-//! - `playing`: playing sessions, their end, and sessions that are handed over after a restart.
+//! - `playing`: playing sessions and their end.
+//! - `handover`: sessions that are handed over after a restart.
 //! - `incarnations`: the list of nodes, and the incarnations of each node.
 //! - `links`: connections to nodes.
 //! - `places`: which connections may be dialled when almost all descriptors are in use.
@@ -13,6 +14,7 @@
 //! - `takeover`: evidence that another process has taken over a node's address.
 
 mod attempts;
+mod handover;
 mod incarnations;
 mod links;
 mod liveness;
@@ -149,6 +151,8 @@
     open_requests: BTreeSet<SessionId>,
     /// Number of playing sessions that were set up or handed over on it.
     playing: usize,
+    /// Number of playing sessions that were handed over on it, by node.
+    handed_over: BTreeMap<IncarnationId, usize>,
 }
 
 impl Conn {
@@ -172,6 +176,8 @@
     bounds: Bounds,
     /// Whether nodes may be asked for their load.
     probing: bool,
+    /// Maximum number of streams on a node, for each kind of node.
+    kind_max_streams: Vec<f64>,
     sockets: SocketSettings,
     sessions: BTreeMap<SessionId, Session>,
     /// Number of sessions in [`Phase::Open`].
@@ -186,9 +192,9 @@
     /// The keys of `ended`, oldest first.
     ended_order: VecDeque<SessionId>,
     /// Sessions that were handed over with a node that is not in the list yet.
-    awaiting_list: BTreeMap<SessionId, playing::AwaitingList>,
+    awaiting_list: BTreeMap<SessionId, handover::AwaitingList>,
     /// Ends that nodes reported of sessions that have not been handed over yet.
-    early_ends: BTreeMap<SessionId, playing::EarlyEnd>,
+    early_ends: BTreeMap<SessionId, handover::EarlyEnd>,
     /// Ends of sessions that could not be reported to a viewer yet.
     unsent_ends: VecDeque<playing::UnsentEnd>,
     /// When the lack of places for connections was last logged.
@@ -214,11 +220,12 @@
     ) -> Result<Self, SettingsError> {
         let mut timers = Timers::default();
         timers.set(0, Wake::Sweep);
-        let probing = settings.probes;
+        let (probing, kind_max_streams) = (settings.probes, settings.kind_max_streams.clone());
         Ok(Self {
             controller: Controller::new(settings, seed)?,
             bounds,
             probing,
+            kind_max_streams,
             sockets,
             sessions: BTreeMap::new(),
             open_requests: 0,
@@ -251,6 +258,7 @@
                     half_closed: false,
                     open_requests: BTreeSet::new(),
                     playing: 0,
+                    handed_over: BTreeMap::new(),
                 };
                 self.conns.insert(conn, new);
             }
--- a/crates/platform/src/core/playing.rs
+++ b/crates/platform/src/core/playing.rs
@@ -2,7 +2,7 @@
 //! viewer is notified on any connection from its address.
 
 use super::attempts::{Stage, ended_event};
-use super::places::DialPurpose;
+use super::handover::EarlyEnd;
 use super::*;
 use bytes::Bytes;
 use pepperhook::{NotificationKind, Outcome};
@@ -24,95 +24,8 @@
     message: ToViewer,
 }
 
-/// Time for which a session that was handed over waits for its node to appear in the list, which may be late.
-const LIST_DELAY: Time = 2_000 * MS;
-
-/// A session that was handed over with a node that is not in the list yet.
-pub struct AwaitingList {
-    conn: ConnId,
-    peer: IpAddr,
-    request: SetUpRequest,
-    server: ServerId,
-}
-
-/// An end that a node reported of an unknown session, which may still be handed over.
-pub struct EarlyEnd {
-    pub received_at: Time,
-    server: ServerId,
-    outcome: Outcome,
-}
-
 impl Core {
-    /// Adopts a session that already played when the front started. A known session is left as it is.
-    pub(super) fn adopt_session(
-        &mut self,
-        now: Time,
-        conn: ConnId,
-        peer: IpAddr,
-        request: SetUpRequest,
-        server: ServerId,
-        out: &mut Vec<Effect>,
-    ) {
-        let (id, spec) = (request.id, request.spec);
-        if self.sessions.contains_key(&id) || self.awaiting_list.contains_key(&id) {
-            return;
-        }
-        let title = spec.title.0;
-        if self.ended.contains_key(&id) {
-            // Its viewer was not notified of the end, or it would not hand the session over.
-            return self.notify_viewer(now, conn, peer, ToViewer::Ended(id, title, CAUSE_BROKEN), out);
-        }
-        if self.sessions.len() >= self.bounds.sessions {
-            return out.push(Effect::SendToViewer(conn, ToViewer::Refused(id, None)));
-        }
-        // The description of a session that already plays is never sent on.
-        let request = SetUpRequest { body: Bytes::new(), ..request };
-        let Some(incarnation) = self.current.get(&server).copied() else {
-            if self.awaiting_list.len() >= self.bounds.open_requests {
-                return out.push(Effect::SendToViewer(conn, ToViewer::UnknownSession(id)));
-            }
-            self.awaiting_list.insert(id, AwaitingList { conn, peer, request, server });
-            return self.set_timer(now + LIST_DELAY, Wake::HandoverTimeout(id));
-        };
-        let phase = Phase::Playing(incarnation, now);
-        // The description is not needed any more, and thousands of long ones would exhaust the memory.
-        let request = SetUpRequest { body: Bytes::new(), ..request };
-        self.sessions.insert(id, Session { request, conn, peer, rung: 0, attempts: 1, phase });
-        self.register_playing(incarnation, conn, id);
-        self.mark_validated(now, conn, out);
-        self.pending.push_back(Event::Adopted(id, spec, server));
-        // Its node may have reported its end already, on the first connection that came up after the restart.
-        if let Some(early_end) = self.early_ends.remove(&id).filter(|e| e.server == server) {
-            return self.session_ended(now, id, early_end.outcome, Vec::new(), out);
-        }
-        self.clear_dead(incarnation);
-        // The node needs a connection to report the end.
-        if self.incarnations.get(&incarnation).is_some_and(|node| node.links.is_empty()) {
-            self.dial(now, incarnation, DialPurpose::Watch, out);
-        }
-    }
-
-    /// The list has changed: adopts the sessions whose node it names now.
-    pub(super) fn place_handed_over(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let named = self.awaiting_list.iter().filter(|(_, u)| self.current.contains_key(&u.server));
-        let named: Vec<_> = named.map(|(id, _)| *id).collect();
-        for id in named {
-            if let Some(AwaitingList { conn, peer, request, server }) = self.awaiting_list.remove(&id) {
-                self.adopt_session(now, conn, peer, request, server, out);
-            }
-        }
-    }
-
-    /// The list does not name the node of a session that was handed over: the session has ended, and a viewer
-    /// that invented it learns that it does not exist.
-    pub(super) fn handover_timed_out(&mut self, now: Time, id: SessionId, out: &mut Vec<Effect>) {
-        let Some(AwaitingList { conn, peer, request, .. }) = self.awaiting_list.remove(&id) else { return };
-        self.remember_ended(now, id, request.spec.title.0, false);
-        self.notify_viewer(now, conn, peer, ToViewer::Ended(id, request.spec.title.0, CAUSE_BROKEN), out);
-        out.push(Effect::SendToViewer(conn, ToViewer::UnknownSession(id)));
-    }
-
-    fn register_playing(&mut self, incarnation: IncarnationId, conn: ConnId, id: SessionId) {
+    pub(super) fn register_playing(&mut self, incarnation: IncarnationId, conn: ConnId, id: SessionId) {
         if let Some(incarnation) = self.incarnations.get_mut(&incarnation) {
             incarnation.playing.insert(id);
         }
@@ -278,6 +191,9 @@
         if let Some(conn) = self.conns.get_mut(&s.conn) {
             conn.playing = conn.playing.saturating_sub(1);
         }
+        if s.request.playing_at.is_some() {
+            self.handed_over_ended(incarnation, s.conn);
+        }
         self.remember_ended(now, id, s.request.spec.title.0, false);
         let incarnation = self.incarnations.get_mut(&incarnation)?;
         incarnation.playing.remove(&id);
@@ -286,7 +202,7 @@
 
     /// Notifies a viewer on the connection of the set-up, else on another one from the same address, else as
     /// soon as there is one.
-    fn notify_viewer(
+    pub(super) fn notify_viewer(
         &mut self,
         now: Time,
         conn: ConnId,
--- a/crates/platform/src/core/tests/handover.rs
+++ b/crates/platform/src/core/tests/handover.rs
@@ -177,3 +177,47 @@
     let out = front.handle(Input::NodeMessage(link, session_started(1)));
     assert_eq!(out, [Effect::SendToNode(link, ToNode::Release(SessionId(1), 7, 31))]);
 }
+
+/// Number of streams of a node in these settings.
+const MAX_STREAMS: u64 = 200;
+
+fn is_unknown(out: &[Effect], id: u64) -> bool {
+    out.iter()
+        .any(|e| matches!(e, Effect::SendToViewer(_, ToViewer::UnknownSession(unknown)) if unknown.0 == id))
+}
+
+/// Guards against one client that fills a node with sessions that it invents: it claims half of the node's streams, all
+/// clients together what the node can play. What ends frees its claim.
+#[test]
+fn handed_over_sessions_are_bounded_by_what_a_node_can_play() {
+    let mut front = Harness::with_three_nodes();
+    front.handle(Input::ViewerConnected(ConnId(2), VIEWER_ADDRESS));
+    front.handle(Input::ViewerConnected(ConnId(3), VIEWER_ADDRESS));
+    let mut hand_over = |conn: u64, from: u64, count: u64| {
+        let ids = from..from + count;
+        ids.filter(|id| !is_unknown(&front.handle(Input::SetUp(ConnId(conn), handed_over(*id, 2))), *id))
+            .count() as u64
+    };
+    assert_eq!(hand_over(1, 1_000, MAX_STREAMS), MAX_STREAMS / 2);
+    assert_eq!(hand_over(2, 2_000, MAX_STREAMS), MAX_STREAMS / 2);
+    assert_eq!(hand_over(3, 3_000, 10), 0, "the node plays no more than its streams");
+    front.handle(Input::Release(ConnId(1), SessionId(1_000)));
+    let out = front.handle(Input::SetUp(ConnId(1), handed_over(1_500, 2)));
+    assert!(!is_unknown(&out, 1_500), "the session that ended has freed its claim");
+    let out = front.handle(Input::SetUp(ConnId(1), handed_over(1_501, 3)));
+    assert!(!is_unknown(&out, 1_501), "a claim counts for its node only");
+}
+
+/// Guards against one client that keeps sessions of others from waiting for a late list.
+#[test]
+fn sessions_at_unlisted_nodes_leave_room_for_those_of_other_clients() {
+    let mut front = Harness::with_three_nodes();
+    front.handle(Input::ViewerConnected(ConnId(2), VIEWER_ADDRESS));
+    for id in 0..2_000 {
+        front.handle(Input::SetUp(ConnId(1), handed_over(1_000 + id, 50)));
+    }
+    let out = front.handle(Input::SetUp(ConnId(2), handed_over(9_000, 9)));
+    assert!(!is_unknown(&out, 9_000));
+    front.handle(Input::NodeList(vec![node(2, State::Ready), node(9, State::Ready)]));
+    assert_eq!(front.core.playing_sessions(), 1);
+}
