Serve: a node is asked about its oldest session first

What callers saw: after a node's process was replaced at once by another one at its address, most of its sessions stood at the front for ever (31 at the front, 2 at the node).

Cause: open_node_events opened the event stream on the first session by path; one of the new process opens it, and the sessions of the old one were never asked about.

Change: the oldest session is asked about first; after an unknown one the next without a pause.

--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -823,14 +823,16 @@
         self.update_node_capacities();
     }
 
-    /// Opens the node's event stream on one of its playing sessions, unless one is open.
+    /// Opens the node's event stream on the oldest of its playing sessions, unless one is open. Another process may have
+    /// taken over the node's address: if it knows the oldest session it knows all, and otherwise it is asked about the
+    /// next one. A younger session may be its own, and tells nothing about those before.
     fn open_node_events(&mut self, node: ServerId, effects: &mut Vec<Effect>) {
         let Some(state) = self.nodes.get_mut(&node).filter(|s| s.event_stream_of.is_none()) else { return };
-        let stream = state.playing.iter().find_map(|(path, id)| {
+        let streams = state.playing.iter().filter_map(|(path, id)| {
             let events = self.sessions.get(id)?.playing.as_ref()?.events.clone()?;
-            Some((path.clone(), events))
+            Some((*id, path.clone(), events))
         });
-        if let Some((path, events)) = stream {
+        if let Some((_, path, events)) = streams.min() {
             state.event_stream_of = Some(path);
             effects.push(Effect::OpenNodeEvents(node, events));
         }
--- a/crates/front/src/engine/tests.rs
+++ b/crates/front/src/engine/tests.rs
@@ -283,6 +283,31 @@
     assert_eq!(harness.notices.len(), 1, "the node no longer knows the session: its viewer is notified");
 }
 
+/// Guards against sessions of a process that has gone, stranded since its successor at the address was asked about a
+/// session of its own: the oldest session is asked about first.
+#[test]
+fn an_event_stream_is_opened_on_the_oldest_session_of_its_node() {
+    let mut harness = Harness::new(1);
+    let node = *harness.engine.nodes.keys().next().expect("a node");
+    // Their paths sort in the other order.
+    for (viewer, path) in [(1, "/s/z"), (2, "/s/m"), (3, "/s/a")] {
+        harness.input(Input::Post(Ticket(viewer), request(viewer, viewer)));
+        let id = harness.only_attempt();
+        harness.end_attempt(id, created(path));
+    }
+    let opened = |harness: &Harness| {
+        let streams = harness.effects.iter().rev();
+        streams
+            .clone()
+            .find_map(|e| if let Effect::OpenNodeEvents(_, path) = e { Some(path.clone()) } else { None })
+    };
+    harness.input(Input::StreamEnded(node, StreamEnd::Closed));
+    assert_eq!(opened(&harness).as_deref(), Some("/s/z/events"));
+    harness.input(Input::StreamEnded(node, StreamEnd::SessionUnknown));
+    assert_eq!(opened(&harness).as_deref(), Some("/s/m/events"));
+    assert_eq!(harness.notices.len(), 1);
+}
+
 #[test]
 fn a_moved_viewer_is_notified_and_reconnects_under_the_same_key() {
     let mut harness = Harness::new(4);
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -28,6 +28,8 @@
 
 /// Capacity of a viewer's event stream, in events. If the viewer does not read, further events are dropped.
 const MAX_QUEUED_EVENTS: usize = 16;
+/// Delay before a node's event stream is opened again.
+const STREAM_RETRY_DELAY: Duration = Duration::from_millis(30);
 /// Time for the last requests to nodes when the front stops.
 const FINAL_REQUESTS_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -299,8 +301,11 @@
                 }
                 None => StreamEnd::NoConnection,
             };
-            // Without a pause, a node that closes each stream at once would be asked in a tight loop.
-            tokio::time::sleep(Duration::from_millis(30)).await;
+            // Without a pause, a node that closes each stream at once would be asked in a tight loop. An unknown session is
+            // gone, so that the next one is asked about at once.
+            if end != StreamEnd::SessionUnknown {
+                tokio::time::sleep(STREAM_RETRY_DELAY).await;
+            }
             shell.drive(Input::StreamEnded(node, end));
         });
     }
