--- a/crates/front/src/console.rs
+++ b/crates/front/src/console.rs
@@ -3,7 +3,8 @@
 
 use crate::console_policy;
 use crate::fleet_io::{AnnounceError, announce};
-use crate::http::{EventBody, Phase, ResponseBody, accept, problem, read_body, response, set_header};
+use crate::http::{EventBody, Phase, ResponseBody, accept, problem, response, set_header};
+use crate::request_body::read_body;
 use crate::shell::Shell;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/front/src/console_policy.rs
+++ b/crates/front/src/console_policy.rs
@@ -4,7 +4,8 @@
 use crate::agreement;
 use crate::console::require_bearer_key;
 use crate::fleet_io::call_fleet;
-use crate::http::{ResponseBody, problem, read_body, response};
+use crate::http::{ResponseBody, problem, response};
+use crate::request_body::read_body;
 use crate::shell::Shell;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `upstream`: WHIP and WHEP client for the nodes.
 //! - `console`: the operators' page and the interface for announced peaks.
 //! - `console_policy`: the operators' interface for the agreed policy and the voters.
-//! - `http`: HTTP parts that both listeners use; `body_budget` bounds the memory of request bodies.
+//! - `http`: HTTP parts that both listeners use; `request_body` reads bodies, `body_budget` bounds their memory.
 //! - `shared_stream`: a socket that several parts watch, and whether the client at its other end is still there.
 //! - `fleet_io`: datagrams between fronts (announced peaks, membership, duties, copies) and the store of records.
 //! - `agreement`: a voter's store, agreed policies, and the fence of a front that cannot know what was agreed.
@@ -22,6 +22,7 @@
 pub mod engine;
 mod fleet_io;
 mod http;
+mod request_body;
 mod session_api;
 mod shared_stream;
 mod shell;
--- a/crates/front/src/session_api.rs
+++ b/crates/front/src/session_api.rs
@@ -12,9 +12,8 @@
 //! the bearer token (`docs/operators.md`).
 
 use crate::engine::types::*;
-use crate::http::{
-    EventBody, Phase, ResponseBody, accept, append_header, problem, read_body, response, set_header,
-};
+use crate::http::{EventBody, Phase, ResponseBody, accept, append_header, problem, response, set_header};
+use crate::request_body::read_body;
 use crate::shell::Shell;
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -98,6 +98,11 @@
         lost.map(|release| release.message).collect()
     }
 
+    /// Whether a question on it has been unanswered for some time.
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.unanswered_since.is_some_and(|at| at + SIGN_OF_LIFE_TIME <= now)
+    }
+
     /// Whether nothing on it awaits an answer, and nothing waits for it to come up.
     pub fn is_idle(&self) -> bool {
         self.set_ups.is_empty() && self.probes.is_empty() && self.queue.is_empty()
@@ -279,7 +284,7 @@
         let up = self
             .up_links(incarnation)
             .filter(|(_, l)| self.is_fresh(now, l))
-            .min_by_key(|(_, l)| l.set_ups.len());
+            .min_by_key(|(_, l)| (l.is_silent(now), l.set_ups.len()));
         if let Some((link, _)) = up {
             return Some(link);
         }
--- a/crates/platform/src/core/takeover.rs
+++ b/crates/platform/src/core/takeover.rs
@@ -36,6 +36,14 @@
     new_process_heard_at: Option<Time>,
 }
 
+/// What the connections of a node say about its process.
+enum Contradiction {
+    /// A connection leaves the question of this time unanswered, and a newer one was heard.
+    Present(LinkId, Time),
+    /// The same, but this newer connection was not asked anything yet.
+    Possible(LinkId),
+}
+
 impl Core {
     /// Begins the checks that are due.
     pub(super) fn check_takeovers(&mut self, now: Time, out: &mut Vec<Effect>) {
@@ -45,21 +53,37 @@
         let checked = self.incarnations.iter().filter(|(_, node)| may_be_checked(node));
         let due: Vec<_> =
             checked.filter_map(|(id, node)| Some((*id, self.contradicted_link(now, node)?))).collect();
-        for (incarnation, (link, question_at)) in due {
-            let newer = self.newer_links(incarnation, question_at);
-            let Some(replaced_at) = newer.map(|(_, l)| l.opened_at).min() else { continue };
-            let Some(node) = self.incarnations.get_mut(&incarnation) else { continue };
-            node.takeover_check =
-                Some(TakeoverCheck { link, question_at, replaced_at, new_process_heard_at: None });
-            if self.probing {
-                self.query(now, link, out);
+        for (incarnation, contradiction) in due {
+            match contradiction {
+                Contradiction::Possible(newer) => self.query(now, newer, out),
+                Contradiction::Present(link, question_at) => {
+                    self.begin_takeover_check(now, incarnation, link, question_at, out);
+                }
             }
-            self.half_close(now, link, out);
-            self.set_timer(now + CHECK_LIMIT, Wake::TakeoverCheckLimit(link));
-            self.query_newer_link(now, incarnation, question_at, out);
         }
     }
 
+    fn begin_takeover_check(
+        &mut self,
+        now: Time,
+        incarnation: IncarnationId,
+        link: LinkId,
+        question_at: Time,
+        out: &mut Vec<Effect>,
+    ) {
+        let newer = self.newer_links(incarnation, question_at);
+        let Some(replaced_at) = newer.map(|(_, l)| l.opened_at).min() else { return };
+        let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
+        node.takeover_check =
+            Some(TakeoverCheck { link, question_at, replaced_at, new_process_heard_at: None });
+        if self.probing {
+            self.query(now, link, out);
+        }
+        self.half_close(now, link, out);
+        self.set_timer(now + CHECK_LIMIT, Wake::TakeoverCheckLimit(link));
+        self.query_newer_link(now, incarnation, question_at, out);
+    }
+
     /// Asks for a sign of life on a newer connection, which the check needs: by a query or, where queries are forbidden,
     /// by half-closing one that carries nothing. The answer to what it carries would serve as well.
     fn query_newer_link(
@@ -84,25 +108,28 @@
         self.send(now, link, ToNode::QueryLoad(probe), out);
     }
 
-    /// A connection that is silent although one opened after its unanswered question was heard, and the time of that
-    /// question.
-    fn contradicted_link(&self, now: Time, node: &Incarnation) -> Option<(LinkId, Time)> {
+    /// Looks for a connection that is silent although one opened after its unanswered question was heard.
+    fn contradicted_link(&self, now: Time, node: &Incarnation) -> Option<Contradiction> {
         let links = || node.links.iter().filter_map(|id| Some((*id, self.links.get(id)?)));
-        let is_contradicted = |question_at: Time| {
-            let (mut any_new_heard, mut any_old_heard) = (false, false);
-            for (_, link) in links() {
-                let is_new = link.opened_at > question_at;
-                any_new_heard |= is_new && link.is_up() && link.heard_at.is_some();
-                any_old_heard |= !is_new && link.heard_at.is_some_and(|at| at > question_at);
+        let contradiction = |silent: LinkId, question_at: Time| {
+            let is_old_heard =
+                |l: &Link| l.opened_at <= question_at && l.heard_at.is_some_and(|at| at > question_at);
+            if links().any(|(_, l)| is_old_heard(l)) {
+                return None;
+            }
+            let newer = || links().filter(|(_, l)| l.is_up() && l.opened_at > question_at);
+            if newer().any(|(_, l)| l.heard_at.is_some()) {
+                return Some(Contradiction::Present(silent, question_at));
             }
-            any_new_heard && !any_old_heard
+            // It may have carried nothing yet.
+            let unasked = newer().find(|(_, l)| self.probing && l.unanswered_since.is_none());
+            unasked.map(|(id, _)| Contradiction::Possible(id))
         };
-        let silent = links().filter(|(_, link)| link.is_up() && link.is_idle()).filter_map(|(id, link)| {
-            let question_at = link.unanswered_since?;
-            let rested = question_at.saturating_sub(link.heard_at.unwrap_or(link.opened_at)) > RESTING_TIME;
-            (question_at + SIGN_OF_LIFE_TIME <= now && !rested).then_some((id, question_at))
-        });
-        silent.into_iter().find(|(_, question_at)| is_contradicted(*question_at))
+        links().filter(|(_, l)| l.is_up() && l.is_idle()).find_map(|(id, l)| {
+            let question_at = l.unanswered_since.filter(|_| l.is_silent(now))?;
+            let rested = question_at.saturating_sub(l.heard_at.unwrap_or(l.opened_at)) > RESTING_TIME;
+            if rested { None } else { contradiction(id, question_at) }
+        })
     }
 
     fn newer_links(
