--- a/crates/cli/tests/platform_takeover.rs
+++ b/crates/cli/tests/platform_takeover.rs
@@ -98,7 +98,15 @@
     ends
 }
 
-fn sessions_of_a_replaced_process_are_released(probing: bool) {
+/// What clients do once the first process is silent.
+#[derive(Clone, Copy, PartialEq)]
+enum Traffic {
+    /// They set sessions up at the pace of before.
+    GoesOn,
+    Ends,
+}
+
+fn sessions_of_a_replaced_process_are_released(probing: bool, traffic: Traffic) {
     let (node, (other, _set_ups)) = (start_replaced_node(), start_node());
     let (log, _log_requests) = change_log(Vec::new());
     let mut configuration = config(&[node.address, other], log);
@@ -121,9 +129,12 @@
     let silent_since = Instant::now();
     *node.silent_since.lock().expect("poisoned") = Some(silent_since);
     let mut left = first_sessions();
-    // Clients keep coming, at the pace of before.
     while !left.is_empty() && silent_since.elapsed() < RELEASE_LIMIT {
-        ask();
+        if traffic == Traffic::GoesOn {
+            ask()
+        } else {
+            sleep(INTERVAL)
+        }
         for (id, at) in ends.try_iter() {
             assert!(left.remove(&id), "{id} was ended {:?} after the silence", at - silent_since);
         }
@@ -142,11 +153,17 @@
 /// life of the process before it.
 #[test]
 fn sessions_of_a_replaced_process_are_released_where_queries_are_permitted() {
-    sessions_of_a_replaced_process_are_released(true);
+    sessions_of_a_replaced_process_are_released(true, Traffic::GoesOn);
 }
 
 /// The same without queries: connections are half-closed instead.
 #[test]
 fn sessions_of_a_replaced_process_are_released_where_queries_are_forbidden() {
-    sessions_of_a_replaced_process_are_released(false);
+    sessions_of_a_replaced_process_are_released(false, Traffic::GoesOn);
+}
+
+/// The same if no set-up comes after the silence, so that the first process is asked nothing that it leaves unanswered.
+#[test]
+fn sessions_of_a_replaced_process_are_released_without_further_set_ups() {
+    sessions_of_a_replaced_process_are_released(true, Traffic::Ends);
 }
