--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -228,3 +228,10 @@
 pub fn address(ready: &serde_json::Value) -> SocketAddr {
     ready["address"].as_str().expect("no valid address").parse().expect("no valid address")
 }
+
+/// Resident memory of a process in kB.
+pub fn memory_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process has ended");
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("no line VmRSS");
+    line.split_ascii_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("not a number")
+}
--- a/crates/cli/tests/hostile.rs
+++ b/crates/cli/tests/hostile.rs
@@ -306,10 +306,3 @@
     let (child, ready) = spawn(&["serve", "-c", "f.conf"], dir).await;
     (child, address(&ready))
 }
-
-/// Resident memory of a process in kB.
-fn memory_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process has ended");
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("no line VmRSS");
-    line.split_ascii_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("not a number")
-}
--- a/crates/cli/tests/serve_floods.rs
+++ b/crates/cli/tests/serve_floods.rs
@@ -40,12 +40,8 @@
     (child, address(&ready), nodes)
 }
 
-/// Resident memory of the process in kB.
-fn memory_kb(front: &Child) -> u64 {
-    let pid = front.id().expect("the process has ended");
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process has ended");
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("no line VmRSS");
-    line.split_ascii_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("not a number")
+fn process_id(front: &Child) -> u32 {
+    front.id().expect("the process has ended")
 }
 
 /// Sets a session up on a new connection, ends it, and returns how long the set-up took.
@@ -89,12 +85,12 @@
         let dir = tempfile::tempdir().expect("cannot create a folder");
         let (front, address, _nodes) = start_front(dir.path()).await;
         served_after(address, "before", 1).await;
-        let before_kb = memory_kb(&front);
+        let before_kb = memory_kb(process_id(&front));
         let head = "POST /whep/t HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\n\
                     content-length: 60000\r\n\r\n";
         let half = [head.as_bytes(), &[b'x'; 59_000]].concat();
         let mut clients = stopped_clients(address, &half).await;
-        let grown_kb = memory_kb(&front).saturating_sub(before_kb);
+        let grown_kb = memory_kb(process_id(&front)).saturating_sub(before_kb);
         assert!(grown_kb < CLIENTS_KB, "{STOPPED_CLIENTS} half offers take {grown_kb} kB");
         // The first ones were evicted, with a refusal that permits another try.
         let mut answer = [0; 64];
@@ -113,7 +109,7 @@
         let dir = tempfile::tempdir().expect("cannot create a folder");
         let (front, address, _nodes) = start_front(dir.path()).await;
         served_after(address, "before", 1).await;
-        let before_kb = memory_kb(&front);
+        let before_kb = memory_kb(process_id(&front));
         let fields = "a: 1\r\n".repeat(2_500);
         let mut clients = Vec::new();
         for n in 0..STOPPED_CLIENTS {
@@ -127,7 +123,7 @@
                 assert!(took < OTHERS_TIME, "another client was served only after {took:?}");
             }
         }
-        let grown_kb = memory_kb(&front).saturating_sub(before_kb);
+        let grown_kb = memory_kb(process_id(&front)).saturating_sub(before_kb);
         assert!(grown_kb < CLIENTS_KB, "{STOPPED_CLIENTS} heads take {grown_kb} kB");
     });
 }
@@ -161,14 +157,14 @@
             sent
         });
         sleep(SECOND / 2).await;
-        let (mut number, early_kb) = (100, memory_kb(&front));
+        let (mut number, early_kb) = (100, memory_kb(process_id(&front)));
         while !flood.is_finished() {
             let took = served_after(address, &format!("other{number}"), number).await;
             assert!(took < OTHERS_TIME, "another client was served only after {took:?}");
             number += 1;
             sleep(SECOND / 10).await;
         }
-        let grown_kb = memory_kb(&front).saturating_sub(early_kb);
+        let grown_kb = memory_kb(process_id(&front)).saturating_sub(early_kb);
         assert!(flood.await.expect("the flood panicked") > 1_000, "the flood was not one");
         assert!(read.await.expect("the reader panicked") > 100_000, "the flood got no answers");
         assert!(number > 110, "only {} others were served", number - 100);
--- a/crates/front/src/shared_stream.rs
+++ b/crates/front/src/shared_stream.rs
@@ -1,13 +1,12 @@
 //! A socket that several parts of the program use at once: one reads and writes it, others watch, shut down or reset it.
 
+use socket2::SockRef;
 use std::io;
 use std::net::Shutdown;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
-
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -66,12 +65,7 @@
 
     /// Whether the client has left, as of the runtime's last look at its sockets.
     pub fn has_left(&self) -> bool {
-        let readiness = pin!(self.0.ready(Interest::READABLE));
-        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
-            Poll::Ready(Err(_)) => true,
-            Poll::Pending => false,
-        }
+        pepperhook_net::is_read_closed(&self.0)
     }
 
     /// Waits until the client leaves.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,9 +5,11 @@
 use std::collections::BinaryHeap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tracing::warn;
@@ -120,6 +122,17 @@
     }
 }
 
+/// Returns whether the peer has closed its sending half or reset the connection, even behind unread bytes, as of the
+/// runtime's last look at its sockets.
+#[must_use]
+pub fn is_read_closed(stream: &TcpStream) -> bool {
+    let readiness = pin!(stream.ready(Interest::READABLE));
+    match readiness.poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(readiness) => readiness.is_ok_and(|ready| ready.is_read_closed()),
+        Poll::Pending => false,
+    }
+}
+
 /// How long [`linger`] reads after the sending side was shut down. Closing a socket with unread input sends a reset,
 /// which can make the peer lose data that was written before (RFC 9112, 9.6).
 pub const LINGER_TIME: Duration = Duration::from_millis(500);
--- a/crates/platform/src/core/handover.rs
+++ b/crates/platform/src/core/handover.rs
@@ -56,7 +56,8 @@
         if self.sessions.len() >= self.bounds.sessions {
             return out.push(Effect::SendToViewer(conn, ToViewer::Refused(id, None)));
         }
-        // The description of a session that already plays is never sent on.
+        // The description of a session that already plays is never sent on, and thousands of long ones would exhaust the
+        // memory.
         let request = SetUpRequest { body: Bytes::new(), ..request };
         let Some(incarnation) = self.current.get(&server).copied() else {
             if !self.may_await_list(conn) {
@@ -69,8 +70,6 @@
             return out.push(Effect::SendToViewer(conn, ToViewer::UnknownSession(id)));
         }
         let phase = Phase::Playing(incarnation, now);
-        // The description is not needed any more, and thousands of long ones would exhaust the memory.
-        let request = SetUpRequest { body: Bytes::new(), ..request };
         self.sessions.insert(id, Session { request, conn, peer, rung: 0, attempts: 1, phase });
         self.register_playing(incarnation, conn, id);
         self.count_handed_over(incarnation, conn);
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -298,6 +298,12 @@
         self.send(now, link, ToNode::QueryLoad(id), out);
     }
 
+    /// Queries the node for a sign of life; the load that it reports is not used.
+    pub(super) fn query_sign_of_life(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
+        let probe = ProbeId(self.fresh_number());
+        self.send(now, link, ToNode::QueryLoad(probe), out);
+    }
+
     fn probe_ended(&mut self, id: ProbeId, report: Option<Vec<f64>>) -> Option<Probe> {
         let probe = self.probes.remove(&id)?;
         if let Some(link) = self.links.get_mut(&probe.link) {
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -299,8 +299,7 @@
         }
         let Some(node) = self.incarnations.get(&incarnation) else { return };
         for link in node.links.clone() {
-            let probe = ProbeId(self.fresh_number());
-            self.send(now, link, ToNode::QueryLoad(probe), out);
+            self.query_sign_of_life(now, link, out);
         }
     }
 
--- a/crates/platform/src/core/takeover.rs
+++ b/crates/platform/src/core/takeover.rs
@@ -55,7 +55,7 @@
             checked.filter_map(|(id, node)| Some((*id, self.contradicted_link(now, node)?))).collect();
         for (incarnation, contradiction) in due {
             match contradiction {
-                Contradiction::Possible(newer) => self.query(now, newer, out),
+                Contradiction::Possible(newer) => self.query_sign_of_life(now, newer, out),
                 Contradiction::Present(link, question_at) => {
                     self.begin_takeover_check(now, incarnation, link, question_at, out);
                 }
@@ -77,7 +77,7 @@
         node.takeover_check =
             Some(TakeoverCheck { link, question_at, replaced_at, new_process_heard_at: None });
         if self.probing {
-            self.query(now, link, out);
+            self.query_sign_of_life(now, link, out);
         }
         self.half_close(now, link, out);
         self.set_timer(now + CHECK_LIMIT, Wake::TakeoverCheckLimit(link));
@@ -97,17 +97,12 @@
         let link = self.newer_links(incarnation, question_at).find(|(_, l)| is_usable(l)).map(|(id, _)| id);
         let Some(link) = link else { return };
         if self.probing {
-            self.query(now, link, out);
+            self.query_sign_of_life(now, link, out);
         } else {
             self.half_close(now, link, out);
         }
     }
 
-    fn query(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
-        let probe = ProbeId(self.fresh_number());
-        self.send(now, link, ToNode::QueryLoad(probe), out);
-    }
-
     /// Looks for a connection that is silent although one opened after its unanswered question was heard.
     fn contradicted_link(&self, now: Time, node: &Incarnation) -> Option<Contradiction> {
         let links = || node.links.iter().filter_map(|id| Some((*id, self.links.get(id)?)));
@@ -171,11 +166,8 @@
 
     /// Nothing was heard on newer connections: the check gives no result.
     pub(super) fn takeover_check_timed_out(&mut self, link: LinkId, out: &mut Vec<Effect>) {
-        if let Some(incarnation) = self.links.get(&link).map(|l| l.incarnation) {
-            if self.is_under_takeover_check(link) {
-                self.end_takeover_check(incarnation, link);
-                self.close_link(link, out);
-            }
+        if self.is_under_takeover_check(link) {
+            self.close_link(link, out);
         }
     }
 
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -10,9 +10,6 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::ops::ControlFlow;
-use std::pin::pin;
-use std::task::{Context, Poll, Waker};
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant};
@@ -232,23 +229,16 @@
         self.fill_inbox(|buffer| (&*SockRef::from(&self.stream)).read(buffer));
         self.wake.notify_one();
         let inbox = self.inbox.borrow();
-        inbox.end.is_some() || self.is_read_closed() || inbox.messages.iter().any(is_end)
-    }
-
-    /// Returns whether the peer has closed its sending half or reset the connection, even behind unread bytes, as of the
-    /// runtime's last look at its sockets.
-    fn is_read_closed(&self) -> bool {
-        let readiness = pin!(self.stream.ready(Interest::READABLE));
-        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
-            Poll::Ready(readiness) => readiness.is_ok_and(|ready| ready.is_read_closed()),
-            Poll::Pending => false,
-        }
+        inbox.end.is_some()
+            || pepperhook_net::is_read_closed(&self.stream)
+            || inbox.messages.iter().any(is_end)
     }
 
     /// Takes the next item for the reader.
     fn next(&self) -> Option<Received> {
         let mut inbox = self.inbox.borrow_mut();
-        let has_ended = inbox.end.is_some() || (!inbox.end_reported && self.is_read_closed());
+        let has_ended =
+            inbox.end.is_some() || (!inbox.end_reported && pepperhook_net::is_read_closed(&self.stream));
         if has_ended && !std::mem::replace(&mut inbox.end_reported, true) {
             return Some(Received::EndOfInput);
         }
