Platform: requests are read ahead, so that a close behind them is seen

Cause: a close that the client's system holds back, since the front's receive buffer is full, was known only after the requests before it were handled.

--- a/crates/cli/tests/platform_strangers.rs
+++ b/crates/cli/tests/platform_strangers.rs
@@ -8,7 +8,7 @@
 mod scripted_log;
 
 use harness::*;
-use scripted_log::{is_served, set_up_request, start_node};
+use scripted_log::{is_served, set_up_request, start_node, wait_until_served};
 use serde_json::json;
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
@@ -238,6 +238,27 @@
     });
 }
 
+/// Guards against requests that are sent on although their client closed the connection long before, while its system
+/// still holds a part of them and the close back, since the front has not read so far.
+#[test]
+fn set_ups_of_a_client_that_closed_before_the_front_read_them_are_not_sent_on() {
+    let ((node, set_ups), (log, _log_requests)) = (start_node(), change_log(Vec::new()));
+    let front = front(&config(&[node], log));
+    wait_until_served(&front, 0x1_0000);
+    while set_ups.try_recv().is_ok() {}
+    let requests: Vec<u8> = (1..1_000).flat_map(|id| set_up_request(id, "lesson")).collect();
+    let mut client = front.connect();
+    socket2::SockRef::from(&client).set_send_buffer_size(4 << 20).expect("cannot set the size of the buffer");
+    client.set_nonblocking(true).expect("cannot make the socket non-blocking");
+    front.signal("SIGSTOP");
+    client.write_all(&requests).expect("the client's system does not hold all requests");
+    drop(client);
+    sleep(Duration::from_millis(200));
+    front.signal("SIGCONT");
+    let sent_on: Vec<_> = std::iter::from_fn(|| set_ups.recv_timeout(SECOND).ok()).collect();
+    assert!(sent_on.is_empty(), "{} set-ups were sent on 0.2 s after the close", sent_on.len());
+}
+
 /// Guards against requests that are sent on after their client has closed the connection with much still unread, and
 /// against an id that runs twice when it comes again.
 #[test]
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -1,11 +1,12 @@
 //! One connection to a viewer or a node: received bytes go through a decoder, sent bytes through a bounded queue.
 
-use crate::send_queue::{QueueTotal, SendQueue};
+use crate::byte_total::ByteTotal;
+use crate::inbox::Inbox;
+use crate::send_queue::SendQueue;
 use bytes::Buf;
-use pepperhook_rtsp::{DecodeError, Decoder, Message};
+use pepperhook_rtsp::{DecodeError, Message};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -16,10 +17,6 @@
 
 /// Size in bytes of the read buffer.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
-/// Number of received bytes, not yet taken from the inbox, at which reading pauses.
-const MAX_INBOX_BYTES: usize = 64 * 1024;
-/// Number of decoded messages at which decoding pauses. A small message takes several times its length once decoded.
-const MAX_INBOX_MESSAGES: usize = 64;
 /// Number of messages handled before the task yields to others.
 const MESSAGES_PER_TURN: usize = 16;
 
@@ -58,39 +55,21 @@
     Message(Message),
 }
 
-/// Received data that the reader has not taken yet.
-#[derive(Default)]
-struct Inbox {
-    decoder: Decoder,
-    messages: VecDeque<Message>,
-    /// Bytes received since the inbox was last empty. Those that are not decoded yet are in the decoder.
-    bytes: usize,
-    /// Set when nothing more follows the messages.
-    end: Option<EndReason>,
-    /// The reader has taken [`Received::EndOfInput`].
-    end_reported: bool,
-}
-
-impl Inbox {
-    /// Decodes what has arrived, up to [`MAX_INBOX_MESSAGES`] that wait for the reader.
-    fn decode(&mut self) {
-        while self.messages.len() < MAX_INBOX_MESSAGES {
-            match self.decoder.decode() {
-                Ok(Some(message)) => self.messages.push_back(message),
-                Ok(None) => return,
-                Err(error) => {
-                    self.end.get_or_insert(EndReason::Unreadable(error));
-                    return;
-                }
-            }
-        }
-    }
+/// Number of bytes that all connections of a kind hold together.
+#[derive(Clone, Debug, Default)]
+pub struct BufferTotals {
+    /// Received, and not handled yet.
+    received: ByteTotal,
+    /// Still to be written.
+    queued: ByteTotal,
 }
 
 /// One connection, shared by the task that reads it and by those that send on it or check its state.
 pub struct Peer {
     stream: TcpStream,
     inbox: RefCell<Inbox>,
+    /// The reader has taken [`Received::EndOfInput`].
+    end_reported: Cell<bool>,
     queue: RefCell<SendQueue>,
     wake: Notify,
     closing: Cell<bool>,
@@ -113,12 +92,13 @@
 }
 
 impl Peer {
-    /// A connection whose queued bytes count in this total.
-    pub fn new(stream: TcpStream, queue_total: QueueTotal) -> Self {
+    /// A connection whose bytes count in these totals.
+    pub fn new(stream: TcpStream, totals: &BufferTotals) -> Self {
         Self {
             stream,
-            inbox: RefCell::default(),
-            queue: RefCell::new(SendQueue::new(queue_total)),
+            inbox: RefCell::new(Inbox::new(totals.received.clone())),
+            end_reported: Cell::new(false),
+            queue: RefCell::new(SendQueue::new(totals.queued.clone())),
             wake: Notify::new(),
             closing: Cell::new(false),
             send_half: Cell::new(SendHalf::Open),
@@ -204,19 +184,17 @@
     fn fill_inbox(&self, mut read: impl FnMut(&mut [u8]) -> io::Result<usize>) {
         let mut inbox = self.inbox.borrow_mut();
         let mut buffer = [0u8; READ_BUFFER_BYTES];
-        while inbox.end.is_none() && inbox.bytes < MAX_INBOX_BYTES {
+        while inbox.has_room() {
             let n = match read(&mut buffer) {
-                Ok(0) if self.send_half.get() == SendHalf::Shut => return inbox.end = Some(EndReason::Shut),
-                Ok(0) => return inbox.end = Some(EndReason::Gone),
+                Ok(0) if self.send_half.get() == SendHalf::Shut => return inbox.set_end(EndReason::Shut),
+                Ok(0) => return inbox.set_end(EndReason::Gone),
                 Ok(n) => n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => return inbox.end = Some(EndReason::Gone),
+                Err(_) => return inbox.set_end(EndReason::Gone),
             };
-            inbox.bytes += n;
             self.last_received.set(Instant::now());
-            inbox.decoder.feed(&buffer[..n]);
-            inbox.decode();
+            inbox.receive(&buffer[..n]);
         }
     }
 
@@ -229,27 +207,18 @@
         self.fill_inbox(|buffer| (&*SockRef::from(&self.stream)).read(buffer));
         self.wake.notify_one();
         let inbox = self.inbox.borrow();
-        inbox.end.is_some()
-            || pepperhook_net::is_read_closed(&self.stream)
-            || inbox.messages.iter().any(is_end)
+        inbox.end().is_some() || pepperhook_net::is_read_closed(&self.stream) || inbox.any_message(is_end)
     }
 
     /// Takes the next item for the reader.
     fn next(&self) -> Option<Received> {
         let mut inbox = self.inbox.borrow_mut();
-        let has_ended =
-            inbox.end.is_some() || (!inbox.end_reported && pepperhook_net::is_read_closed(&self.stream));
-        if has_ended && !std::mem::replace(&mut inbox.end_reported, true) {
+        if !self.end_reported.get() && (inbox.end().is_some() || pepperhook_net::is_read_closed(&self.stream))
+        {
+            self.end_reported.set(true);
             return Some(Received::EndOfInput);
         }
-        if inbox.messages.is_empty() {
-            inbox.decode();
-        }
-        let message = inbox.messages.pop_front();
-        if message.is_none() {
-            inbox.bytes = 0;
-        }
-        message.map(Received::Message)
+        inbox.pop().map(Received::Message)
     }
 
     /// Passes received messages to `handle` and writes the send queue until either side ends the connection; `handle`
@@ -273,10 +242,10 @@
                     tokio::task::yield_now().await;
                 }
             }
-            if let Some(end) = self.inbox.borrow().end {
+            if let Some(end) = self.inbox.borrow().end() {
                 return end;
             }
-            let is_partial = self.inbox.borrow().decoder.has_partial_message();
+            let is_partial = self.inbox.borrow().has_undecoded_bytes();
             deadline = match (is_partial, deadline) {
                 _ if closing => deadline,
                 // Messages were handled meanwhile: the one in progress is another, with its own deadline.
@@ -330,8 +299,7 @@
     /// Returns whether nothing is in progress: the send queue is empty, the inbox has no message or part of one, and the
     /// socket has no unread bytes.
     pub fn is_idle(&self) -> bool {
-        let inbox = self.inbox.borrow();
-        if inbox.decoder.has_partial_message() || !inbox.messages.is_empty() || self.is_writing() {
+        if !self.inbox.borrow().is_empty() || self.is_writing() {
             return false;
         }
         // Peeks at the socket, since the runtime may not know of the latest bytes yet. A close or an error is not a byte.
--- a/crates/platform/src/send_queue/tests.rs
+++ b/crates/platform/src/send_queue/tests.rs
@@ -4,26 +4,26 @@
 
 #[test]
 fn a_queue_is_bounded_alone_and_with_others() {
-    let total = QueueTotal::default();
+    let total = ByteTotal::default();
     let mut alone = SendQueue::new(total.clone());
-    assert!(alone.push(&vec![0; MAX_QUEUED_BYTES]));
+    assert!(alone.push(&vec![0; LIMITS.alone]));
     assert!(!alone.push(b"x"));
     // Many peers that do not read fill the total; then short queues still grow, and long ones do not.
-    let full = MAX_TOTAL_BYTES / MAX_QUEUED_BYTES;
+    let full = LIMITS.total / LIMITS.alone;
     let others: Vec<_> = (0..full)
         .map(|_| {
             let mut queue = SendQueue::new(total.clone());
-            let _ = queue.push(&vec![0; MAX_QUEUED_BYTES]);
+            let _ = queue.push(&vec![0; LIMITS.alone]);
             queue
         })
         .collect();
     let mut newcomer = SendQueue::new(total.clone());
-    assert!(newcomer.push(&vec![0; SHORT_QUEUE_BYTES]));
+    assert!(newcomer.push(&vec![0; LIMITS.always]));
     assert!(!newcomer.push(b"x"));
     drop((alone, others));
     newcomer.advance(1);
-    assert!(newcomer.push(&vec![0; SHORT_QUEUE_BYTES]), "there is room again");
-    assert_eq!(newcomer.unwritten().len(), 2 * SHORT_QUEUE_BYTES);
+    assert!(newcomer.push(&vec![0; LIMITS.always]), "there is room again");
+    assert_eq!(newcomer.unwritten().len(), 2 * LIMITS.always);
     drop(newcomer);
-    assert_eq!(total.0.get(), 0);
+    assert_eq!(total.get(), 0);
 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -7,8 +7,7 @@
 use crate::config::{Config, StartConfig};
 use crate::core::{Bounds, ConnId, Core, DialEnd, Effect, Input, LinkId};
 use crate::node_filter::NodeFilter;
-use crate::peer::{EndReason, Peer, ReceiveTimeouts, Received};
-use crate::send_queue::QueueTotal;
+use crate::peer::{BufferTotals, EndReason, Peer, ReceiveTimeouts, Received};
 use crate::viewer::{self, FromViewer};
 use crate::{changelog_client, node};
 use pepperhook::SessionId;
@@ -62,9 +61,9 @@
     /// An accepted viewer's connection that waits until the number of viewers allows it.
     waiting_viewer: RefCell<Option<(TcpStream, SocketAddr)>>,
     nodes: RefCell<HashMap<LinkId, Rc<Peer>>>,
-    /// Unwritten bytes to all viewers and to all nodes.
-    viewer_queues: QueueTotal,
-    node_queues: QueueTotal,
+    /// Bytes that the connections of all viewers and of all nodes hold.
+    viewer_buffers: BufferTotals,
+    node_buffers: BufferTotals,
     max_viewers: usize,
     /// Time after which a queued response is useless to its viewer, whatever the request was, counted from when it could
     /// first have been written.
@@ -268,7 +267,7 @@
             Err(_) => return self.handle_input(Input::DialFailed(id, DialEnd::TimedOut)),
         };
         let _ = stream.set_nodelay(true);
-        let peer = Rc::new(Peer::new(stream, self.node_queues.clone()));
+        let peer = Rc::new(Peer::new(stream, &self.node_buffers));
         self.nodes.borrow_mut().insert(id, peer.clone());
         self.handle_input(Input::LinkUp(id));
         let timeouts = ReceiveTimeouts { first_message: None, message: MESSAGE_TIMEOUT };
@@ -391,8 +390,8 @@
         viewers: RefCell::default(),
         waiting_viewer: RefCell::default(),
         nodes: RefCell::default(),
-        viewer_queues: QueueTotal::default(),
-        node_queues: QueueTotal::default(),
+        viewer_buffers: BufferTotals::default(),
+        node_buffers: BufferTotals::default(),
         max_viewers: bounds.viewers,
         useless_after: longest_deadline + LATE_RESPONSE_LIMIT,
         lingering: Cell::new(0),
--- a/crates/platform/src/shell/accept.rs
+++ b/crates/platform/src/shell/accept.rs
@@ -57,7 +57,7 @@
     /// Admits a viewer's connection. It is counted at once, since a burst is accepted before the first of its tasks runs.
     pub(super) fn admit(self: &Rc<Self>, stream: TcpStream, address: SocketAddr) {
         let id = ConnId(self.next_viewer.replace(self.next_viewer.get() + 1));
-        let connection = Rc::new(Peer::new(stream, self.viewer_queues.clone()));
+        let connection = Rc::new(Peer::new(stream, &self.viewer_buffers));
         self.viewers.borrow_mut().insert(id, connection.clone());
         self.handle_input(Input::ViewerConnected(id, address.ip()));
         spawn_local(self.clone().serve_viewer(id, connection));
