Serve: requests are read ahead, so that a close behind them is seen

Cause: as on platform, a close that the client's system holds back behind unread requests was not known, and each request was sent on in its turn.

--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP parts that both listeners use: responses, and the accept loop.
 
-use crate::shared_stream::{ClientPresence, SharedStream};
+use crate::client_stream::{ClientPresence, ClientStream};
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -10,13 +10,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pepperhook_net::ByteTotal;
 use pepperhook_settings::Limits;
 use pepperhook_signalling::{PROBLEM_JSON, Problem};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -104,6 +104,7 @@
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     let open_connections = Rc::new(Cell::new(0usize));
+    let read_ahead = ByteTotal::default();
     let mut closing = phase.clone();
     // Long enough ago that the first warning is due.
     let mut last_warning = tokio::time::Instant::now() - Duration::from_secs(10);
@@ -126,24 +127,30 @@
         }
         open_connections.set(open_connections.get() + 1);
         let (handler, open_connections, phase) = (handler.clone(), open_connections.clone(), phase.clone());
+        let read_ahead = read_ahead.clone();
         tokio::task::spawn_local(async move {
-            serve(stream, limits, phase, handler).await;
+            serve(stream, read_ahead, limits, phase, handler).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
 }
 
-/// Serves one connection to its end.
-async fn serve<F, R>(stream: TcpStream, limits: Limits, phase: watch::Receiver<Phase>, handler: F)
-where
+/// Serves one connection to its end. What is read ahead of the client counts in `read_ahead`.
+async fn serve<F, R>(
+    stream: TcpStream,
+    read_ahead: ByteTotal,
+    limits: Limits,
+    phase: watch::Receiver<Phase>,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> R + Clone + Unpin + 'static,
     R: Future<Output = Response<ResponseBody>> + 'static,
 {
     // Set once a response had `Connection: close`; no further response may follow it.
     let close_announced: Rc<Cell<bool>> = Rc::default();
     let (service_phase, announced) = (phase.clone(), close_announced.clone());
-    let stream = Arc::new(stream);
-    let client = ClientPresence::new(stream.clone());
+    let stream = ClientStream::new(stream, read_ahead);
+    let client = stream.presence();
     let service = service_fn(move |request: Request<Incoming>| {
         let (phase, announced, client) = (service_phase.clone(), announced.clone(), client.clone());
         let ends_something = request.method() == Method::DELETE;
@@ -164,7 +171,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_nanos(limits.head_timeout))
         .max_buf_size(limits.head)
-        .serve_connection(TokioIo::new(SharedStream(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let ended_cleanly = {
         let mut served = std::pin::pin!(std::future::poll_fn(|cx| connection.poll_without_shutdown(cx)));
         let mut stopped = phase.clone();
@@ -200,8 +207,8 @@
     let Parts { io, read_buf, service, .. } = connection.into_parts();
     // It watches the socket too.
     drop(service);
-    if let Some(stream) = Arc::into_inner(io.into_inner().0) {
-        close_connection(stream, !read_buf.is_empty(), close_announced.get()).await;
+    if let Some((stream, has_unread)) = io.into_inner().into_socket() {
+        close_connection(stream, has_unread || !read_buf.is_empty(), close_announced.get()).await;
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,7 +7,7 @@
 //! - `console`: the operators' page and the interface for announced peaks.
 //! - `console_policy`: the operators' interface for the agreed policy and the voters.
 //! - `http`: HTTP parts that both listeners use; `request_body` reads bodies, `body_budget` bounds their memory.
-//! - `shared_stream`: a socket that several parts watch, and whether the client at its other end is still there.
+//! - `shared_stream`: a socket that several parts use; `client_stream`: a client's, and whether the client is still there.
 //! - `fleet_io`: datagrams between fronts (announced peaks, membership, duties, copies) and the store of records.
 //! - `agreement`: a voter's store, agreed policies, and the fence of a front that cannot know what was agreed.
 //! - `clock`: the clock for messages between fronts.
@@ -16,6 +16,7 @@
 
 mod agreement;
 mod body_budget;
+mod client_stream;
 mod clock;
 mod console;
 mod console_policy;
--- a/crates/platform/src/byte_total.rs
+++ b/crates/net/src/byte_total.rs
@@ -19,6 +19,7 @@
     }
 
     /// The sum, in bytes.
+    #[must_use]
     pub fn get(&self) -> usize {
         self.0.get()
     }
@@ -37,6 +38,7 @@
 
 impl BufferLimits {
     /// The bound of one buffer now, in bytes.
+    #[must_use]
     pub fn current(&self, total: &ByteTotal) -> usize {
         if total.get() > self.total { self.always } else { self.alone }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,9 @@
 //! Helpers that the two front ends share below their protocols: a clock, a timer queue, accepting connections with
-//! retries, and closing a connection without losing written data.
+//! retries, bounds on buffers, and closing a connection without losing written data.
 
+mod byte_total;
+
+pub use byte_total::{BufferLimits, ByteTotal};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::ErrorKind;
--- a/crates/platform/src/inbox.rs
+++ b/crates/platform/src/inbox.rs
@@ -1,8 +1,8 @@
 //! What a connection has received and its reader has not taken yet, bounded for one connection and for all of them
 //! together. No I/O.
 
-use crate::byte_total::{BufferLimits, ByteTotal};
 use crate::peer::EndReason;
+use pepperhook_net::{BufferLimits, ByteTotal};
 use pepperhook_rtsp::{Decoder, Message};
 use std::collections::VecDeque;
 
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -1,9 +1,9 @@
 //! One connection to a viewer or a node: received bytes go through a decoder, sent bytes through a bounded queue.
 
-use crate::byte_total::ByteTotal;
 use crate::inbox::Inbox;
 use crate::send_queue::SendQueue;
 use bytes::Buf;
+use pepperhook_net::ByteTotal;
 use pepperhook_rtsp::{DecodeError, Message};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
--- a/crates/platform/src/send_queue.rs
+++ b/crates/platform/src/send_queue.rs
@@ -1,7 +1,7 @@
 //! Bytes that a connection has still to write, bounded for one connection and for all of them together. No I/O.
 
-use crate::byte_total::{BufferLimits, ByteTotal};
 use bytes::{Buf, BytesMut};
+use pepperhook_net::{BufferLimits, ByteTotal};
 
 /// Bounds on the queues of all connections.
 const LIMITS: BufferLimits = BufferLimits { alone: 256 * 1024, total: 32 * 1024 * 1024, always: 16 * 1024 };
