Platform: refused dials alone end no sessions; a failure detector without I/O

Change: crates/liveness has a failure detector with stated inputs and two verdicts. An unreachable node ends set-ups on broken connections, as before; its sessions end when there was no sign of life for 8 s less a dial and 250 ms. A close or reset by the node is a sign of life. Dials back off to 0.8 s.

--- /dev/null
+++ b/crates/liveness/src/tests.rs
@@ -0,0 +1,149 @@
+//! Verdicts, their times and their cost on seeded schedules of faults.
+
+use super::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const MS: Time = 1_000_000;
+const DIAL_TIMEOUT: Time = 250 * MS;
+const LIMITS: Limits = Limits {
+    unreachable_refusals: 2,
+    unreachable_after: 2_000 * MS,
+    dead_after: 7_500 * MS,
+    first_pause: 100 * MS,
+    longest_pause: 800 * MS,
+};
+const SCHEDULES: u64 = 200;
+const MAX_DIALS: u32 = 16;
+
+/// What dials meet for a time.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Refuses,
+    Silent,
+    /// Each dial meets one of the two.
+    Mixed,
+}
+
+/// Dials a node from the moment at which its connections end, until one comes up or it is held to be dead. Returns the
+/// verdict, its time and the number of dials.
+fn watch(rng: &mut StdRng, fault: Fault, lasts: Time) -> (Verdict, Time, u32) {
+    let mut node = FailureDetector::new(0);
+    let (mut now, mut dials) = (0, 0);
+    loop {
+        dials += 1;
+        if now >= lasts {
+            node.heard(now);
+            return (Verdict::Alive, now, dials);
+        }
+        let refused = match fault {
+            Fault::Refuses => true,
+            Fault::Silent => false,
+            Fault::Mixed => rng.random_bool(0.5),
+        };
+        let end = if refused { FailedDial::Refused } else { FailedDial::TimedOut };
+        now += if refused { MS } else { DIAL_TIMEOUT };
+        if node.dial_failed(now, end, Some(0), &LIMITS) == Verdict::Dead {
+            return (Verdict::Dead, now, dials);
+        }
+        now = node.next_dial_at(now, &LIMITS);
+    }
+}
+
+fn random_fault(rng: &mut StdRng) -> Fault {
+    [Fault::Refuses, Fault::Silent, Fault::Mixed][rng.random_range(0..3)]
+}
+
+/// Prints the table of `docs/platform.md` with `--nocapture`.
+#[test]
+fn no_node_that_comes_back_before_the_limit_is_held_to_be_dead() {
+    let mut most_dials = 0;
+    for seed in 0..SCHEDULES {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (fault, lasts) = (random_fault(&mut rng), rng.random_range(0..LIMITS.dead_after));
+        let (verdict, _, dials) = watch(&mut rng, fault, lasts);
+        assert_eq!(verdict, Verdict::Alive, "seed {seed}: {fault:?} for {lasts} ns");
+        most_dials = most_dials.max(dials);
+    }
+    println!("{SCHEDULES} nodes that come back: 0 wrong verdicts, at most {most_dials} dials");
+    assert!(most_dials <= MAX_DIALS);
+}
+
+#[test]
+fn each_dead_node_is_found_within_the_limit_by_few_dials() {
+    let (mut slowest, mut most_dials) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let fault = random_fault(&mut rng);
+        let (verdict, at, dials) = watch(&mut rng, fault, Time::MAX);
+        assert_eq!(verdict, Verdict::Dead, "seed {seed}: {fault:?}");
+        (slowest, most_dials) = (slowest.max(at), most_dials.max(dials));
+    }
+    println!("{SCHEDULES} dead nodes: found within {} ms, at most {most_dials} dials", slowest / MS);
+    assert!(slowest <= LIMITS.dead_after + DIAL_TIMEOUT);
+    assert!(most_dials <= MAX_DIALS);
+}
+
+#[test]
+fn refusals_make_a_node_unreachable_long_before_they_end_its_sessions() {
+    let mut node = FailureDetector::new(0);
+    let mut refuse = |now| node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+    assert_eq!(refuse(MS), Verdict::Suspected);
+    assert_eq!(refuse(100 * MS), Verdict::Unreachable);
+    assert_eq!(refuse(LIMITS.dead_after - 1), Verdict::Unreachable);
+    assert_eq!(refuse(LIMITS.dead_after), Verdict::Dead);
+}
+
+#[test]
+fn silence_makes_a_node_unreachable_after_the_limit_for_it_and_not_by_the_number_of_dials() {
+    let mut node = FailureDetector::new(0);
+    let mut time_out = |now| node.dial_failed(now, FailedDial::TimedOut, Some(1_000 * MS), &LIMITS);
+    for now in 1..10 {
+        assert_eq!(time_out(1_000 * MS + now * DIAL_TIMEOUT.min(200 * MS)), Verdict::Suspected);
+    }
+    assert_eq!(time_out(1_000 * MS + LIMITS.unreachable_after), Verdict::Unreachable);
+}
+
+#[test]
+fn a_sign_of_life_ends_every_doubt() {
+    let mut node = FailureDetector::new(0);
+    node.dial_failed(MS, FailedDial::Refused, None, &LIMITS);
+    node.heard(7_000 * MS);
+    assert_eq!(node.last_heard(), 7_000 * MS);
+    assert_eq!(node.dial_failed(7_001 * MS, FailedDial::Refused, None, &LIMITS), Verdict::Suspected);
+    assert_eq!(node.next_dial_at(7_001 * MS, &LIMITS), 7_101 * MS, "pauses begin anew");
+    assert_eq!(node.dead_at(&LIMITS), 7_000 * MS + LIMITS.dead_after);
+}
+
+#[test]
+fn pauses_double_up_to_the_longest_and_never_pass_the_verdict() {
+    let mut node = FailureDetector::new(0);
+    let mut now = 0;
+    let mut pauses = Vec::new();
+    while now < LIMITS.dead_after {
+        node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+        let next = node.next_dial_at(now, &LIMITS);
+        pauses.push((next - now) / MS);
+        now = next;
+    }
+    assert_eq!(pauses[..5], [100, 200, 400, 800, 800]);
+    assert_eq!(now, LIMITS.dead_after);
+    node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+    assert!(node.next_dial_at(now, &LIMITS) > now);
+}
+
+#[test]
+fn a_node_that_was_not_watched_has_the_whole_time_and_one_failed_dial_never_ends_it() {
+    let long_ago = 60_000 * MS;
+    let refuse = |node: &mut FailureDetector, now| node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+    let mut node = FailureDetector::new(0);
+    node.watch_from(long_ago);
+    assert_eq!(node.last_heard(), 0);
+    assert_eq!(refuse(&mut node, long_ago), Verdict::Suspected);
+    assert_eq!(refuse(&mut node, long_ago + LIMITS.dead_after - 1), Verdict::Unreachable);
+    assert_eq!(refuse(&mut node, long_ago + LIMITS.dead_after), Verdict::Dead);
+    // A process that stood still for long has heard nothing meanwhile.
+    let mut node = FailureDetector::new(0);
+    assert_eq!(refuse(&mut node, long_ago), Verdict::Suspected);
+    assert_eq!(refuse(&mut node, long_ago + MS), Verdict::Dead);
+}
--- a/crates/platform/src/core/handover.rs
+++ b/crates/platform/src/core/handover.rs
@@ -71,6 +71,7 @@
         }
         let phase = Phase::Playing(incarnation, now);
         self.sessions.insert(id, Session { request, conn, peer, rung: 0, attempts: 1, phase });
+        self.begin_watch(now, incarnation);
         self.register_playing(incarnation, conn, id);
         self.count_handed_over(incarnation, conn);
         self.mark_validated(now, conn, out);
@@ -79,7 +80,6 @@
         if let Some(early_end) = self.early_ends.remove(&id).filter(|e| e.server == server) {
             return self.session_ended(now, id, early_end.outcome, Vec::new(), out);
         }
-        self.clear_dead(incarnation);
         // The node needs a connection to report the end.
         if self.incarnations.get(&incarnation).is_some_and(|node| node.links.is_empty()) {
             self.dial(now, incarnation, DialPurpose::Watch, out);
--- a/crates/platform/src/core/incarnations.rs
+++ b/crates/platform/src/core/incarnations.rs
@@ -12,6 +12,7 @@
 use super::*;
 use pepperhook::{Outcome, ServerEntry, ServerState, ZoneId};
 use pepperhook_changelog::{Entry, State};
+use pepperhook_liveness::FailureDetector;
 use std::net::SocketAddrV4;
 
 /// Releases kept for a node that may still play sessions which were ended without its confirmation, at most.
@@ -37,8 +38,7 @@
     pub links: BTreeSet<LinkId>,
     /// Sessions that play there.
     pub playing: BTreeSet<SessionId>,
-    /// When a message or another sign of life was last received.
-    pub last_heard: Time,
+    pub detector: FailureDetector,
     pub suspicion: Option<Suspicion>,
     pub takeover_check: Option<TakeoverCheck>,
     /// Releases to send on the next connection that comes up.
@@ -46,6 +46,11 @@
 }
 
 impl Incarnation {
+    /// When a message or another sign of life was last received.
+    pub fn last_heard(&self) -> Time {
+        self.detector.last_heard()
+    }
+
     /// Whether its address still belongs to it.
     pub fn may_dial(&self) -> bool {
         !self.retired
@@ -131,7 +136,7 @@
             dead: false,
             links: BTreeSet::new(),
             playing: BTreeSet::new(),
-            last_heard: now,
+            detector: FailureDetector::new(now),
             suspicion: None,
             takeover_check: None,
             pending_releases: VecDeque::new(),
@@ -265,11 +270,14 @@
         }
     }
 
-    /// Forgets that a node was found dead, since a session was handed over with it: this is checked again.
-    pub(super) fn clear_dead(&mut self, incarnation: IncarnationId) {
-        if let Some(node) = self.incarnations.get_mut(&incarnation) {
-            node.dead = false;
+    /// A session is handed over with this node. If no session was known there, its silence so far proves nothing; if it was
+    /// found dead, that is checked again.
+    pub(super) fn begin_watch(&mut self, now: Time, incarnation: IncarnationId) {
+        let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
+        if !node.dead && node.playing.is_empty() {
+            node.detector.watch_from(now);
         }
+        node.dead = false;
     }
 
     /// Closes a connection to a process that has ended.
--- a/crates/platform/src/core/links.rs
+++ b/crates/platform/src/core/links.rs
@@ -427,7 +427,7 @@
         }
         let (incarnation, opened_at) = (l.incarnation, l.opened_at);
         if let Some(incarnation) = self.incarnations.get_mut(&incarnation) {
-            incarnation.last_heard = now;
+            incarnation.detector.heard(now);
         }
         self.note_for_takeover_check(now, incarnation, opened_at);
         match message {
@@ -460,16 +460,31 @@
         self.set_timer(now + SIGN_OF_LIFE_TIME, Wake::HalfCloseTimeout(link));
     }
 
-    /// The node closed a half-closed connection, which is a sign of life: a dead process would have reset it
-    /// or stayed silent.
+    /// The node was there when this connection was closed or reset.
+    fn note_end_by_node(&mut self, now: Time, link: LinkId) {
+        let incarnation = self.links.get(&link).map(|l| l.incarnation);
+        if let Some(node) = incarnation.and_then(|id| self.incarnations.get_mut(&id)) {
+            node.detector.heard(now);
+        }
+    }
+
+    /// A connection was reset: by a node that lives, or since its process has ended just now.
+    pub(super) fn link_reset(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
+        self.note_end_by_node(now, link);
+        self.link_down(now, link, out);
+    }
+
+    /// The node closed a connection. If this side had half-closed it, that is the sign of life which was asked for: a dead
+    /// process would have reset it or stayed silent.
     pub(super) fn link_ended_by_node(&mut self, now: Time, link: LinkId, out: &mut Vec<Effect>) {
         if !self.links.get(&link).is_some_and(Link::is_half_closed) {
+            self.note_end_by_node(now, link);
             return self.link_down(now, link, out);
         }
         let Some(Link { incarnation, opened_at, .. }) = self.drop_link(link) else { return };
         self.note_for_takeover_check(now, incarnation, opened_at);
         let Some(l) = self.incarnations.get_mut(&incarnation) else { return };
-        l.last_heard = now;
+        l.detector.heard(now);
         if l.links.is_empty() {
             self.link_lost(now, incarnation, false, out);
         }
@@ -489,7 +504,7 @@
         if self
             .incarnations
             .get(&incarnation)
-            .is_some_and(|node| node.last_heard <= since && !node.playing.is_empty())
+            .is_some_and(|node| node.last_heard() <= since && !node.playing.is_empty())
         {
             self.suspect_since(now, since, incarnation, out);
         }
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -1,11 +1,12 @@
 //! Evidence of which nodes are alive.
 //!
-//! A dead process refuses dials. A vanished machine lets dials time out and is silent on open connections. A
-//! broken connection alone shows neither, and a stalled node still accepts connections. So a sign of trouble
-//! only raises a suspicion, and dialling the node decides: a new connection clears the suspicion, while
-//! [`DEAD_AFTER_REFUSALS`] refused dials, or timed-out dials and silence for [`DEAD_AFTER_SILENCE`], end the
-//! sessions that play there. A connection that is still up counts as evidence only if something was received
-//! on it since the suspicion began.
+//! A dead process refuses dials, and so does a node at its limit of connections. A vanished machine lets dials time out
+//! and is silent on open connections. A broken connection alone shows neither, and a stalled node still accepts
+//! connections. So a sign of trouble only raises a suspicion, and dialling the node decides: a new connection clears the
+//! suspicion, while dials that fail soon make the node unreachable, which ends the attempts whose connection broke, and
+//! end the sessions that play there only when the time in which an end must be reported is nearly over
+//! ([`pepperhook_liveness`]). A connection that is still up counts as evidence only if something was received on it since
+//! the suspicion began.
 //!
 //! Hundreds of fronts watch the same nodes, and each connection costs the node work. So a node is checked
 //! only as often as the rule on releases requires, and each connection is used twice: its coming up is one
@@ -19,17 +20,21 @@
 use super::places::DialPurpose;
 use super::*;
 use pepperhook::Outcome;
+use pepperhook_liveness::{FailedDial, Limits, Verdict};
 
-/// Refused dials within one suspicion that show a dead process.
-const DEAD_AFTER_REFUSALS: u32 = 2;
+/// Refused dials in a row after which a node is unreachable.
+const UNREACHABLE_REFUSALS: u32 = 2;
 /// The same while a connection to the node is still up: a node at its connection limit refuses dials too.
-const DEAD_AFTER_REFUSALS_WITH_LINK: u32 = 5;
+const UNREACHABLE_REFUSALS_WITH_LINK: u32 = 5;
 /// Time in which a node that has left the list must answer a query.
 const RETIRED_ANSWER_TIME: Time = 800 * MS;
-/// Interval between two dials of a suspected node.
+/// Pause between the first two dials of a suspected node, and between attempts to get a place for one.
 const REDIAL_INTERVAL: Time = 100 * MS;
-/// Time of silence after which timed-out dials show a vanished machine.
-const DEAD_AFTER_SILENCE: Time = 2_000 * MS;
+/// Longest pause between two dials of a suspected node.
+const LONGEST_REDIAL_PAUSE: Time = 800 * MS;
+/// Time since a suspicion began after which a timed-out dial shows an unreachable node, and for which a node that was
+/// silent is dialled before its sessions end.
+const CHECK_TIME: Time = 2_000 * MS;
 /// Part of [`END_NOTICE_LIMIT`] reserved for the way to the viewer and a delay of this process.
 const END_NOTICE_MARGIN: Time = 250 * MS;
 /// Time of silence after which a timeout makes a node suspect, and time in which a node must close a
@@ -44,7 +49,6 @@
     dialled: bool,
     /// It could not be dialled yet, since there is no place for another connection.
     awaits_place: bool,
-    refused_dials: u32,
     /// It was asked for a sign of life on a connection that is still up.
     asked: bool,
     /// A timer for the next dial is set.
@@ -53,7 +57,7 @@
 
 impl Suspicion {
     fn new(since: Time, dialled: bool) -> Self {
-        Self { since, dialled, awaits_place: false, refused_dials: 0, asked: false, redial_scheduled: false }
+        Self { since, dialled, awaits_place: false, asked: false, redial_scheduled: false }
     }
 
     /// The node is asked for a sign of life. A check that had to wait for a place counts from `since`.
@@ -75,6 +79,11 @@
         self.suspicion.as_ref().is_some_and(|s| s.dialled)
     }
 
+    /// Whether a timer for its next dial is set.
+    fn has_scheduled_redial(&self) -> bool {
+        self.suspicion.as_ref().is_some_and(|s| s.redial_scheduled)
+    }
+
     /// Whether it is watched, and it has no connection, its check waits for a place, or its check is between two
     /// dials.
     pub fn needs_place(&self) -> bool {
@@ -85,7 +94,7 @@
     /// Whether nothing was received from it for [`SIGN_OF_LIFE_TIME`] since its check began to wait for a place.
     pub fn is_silent_under_check(&self, now: Time) -> bool {
         let waiting = self.suspicion.as_ref().filter(|s| s.awaits_place);
-        waiting.is_some_and(|s| self.last_heard <= s.since && s.since + SIGN_OF_LIFE_TIME <= now)
+        waiting.is_some_and(|s| self.last_heard() <= s.since && s.since + SIGN_OF_LIFE_TIME <= now)
     }
 }
 
@@ -110,7 +119,8 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
-        (node.last_heard, node.suspicion, node.dead) = (now, None, false);
+        node.detector.heard(now);
+        (node.suspicion, node.dead) = (None, false);
         let pending_releases = std::mem::take(&mut node.pending_releases);
         // They are not repeated once more, so that a node which closes each connection is not dialled for ever.
         out.extend(pending_releases.into_iter().map(|message| Effect::SendToNode(link, message)));
@@ -160,7 +170,7 @@
             }
         } else {
             self.check_without_place(now, incarnation, out);
-            self.schedule_redial(now, incarnation);
+            self.schedule_redial(now + REDIAL_INTERVAL, incarnation);
         }
     }
 
@@ -190,7 +200,7 @@
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         let is_needed = node.has_sessions() || has_lost_attempts;
         let Some(suspicion) = &mut node.suspicion else { return };
-        if is_up && node.last_heard > suspicion.since {
+        if is_up && node.detector.last_heard() > suspicion.since {
             node.suspicion = None;
             return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
         }
@@ -201,15 +211,16 @@
         suspicion.awaits_place = !is_closing;
     }
 
-    fn schedule_redial(&mut self, now: Time, incarnation: IncarnationId) {
+    fn schedule_redial(&mut self, at: Time, incarnation: IncarnationId) {
         if let Some(suspicion) = self.suspicion_mut(incarnation).filter(|s| !s.redial_scheduled) {
             suspicion.redial_scheduled = true;
-            self.set_timer(now + REDIAL_INTERVAL, Wake::Redial(incarnation));
+            self.set_timer(at, Wake::Redial(incarnation));
         }
     }
 
     pub(super) fn suspect_if_quiet(&mut self, now: Time, incarnation: IncarnationId, out: &mut Vec<Effect>) {
-        if self.incarnations.get(&incarnation).is_some_and(|node| node.last_heard + SIGN_OF_LIFE_TIME < now) {
+        if self.incarnations.get(&incarnation).is_some_and(|node| node.last_heard() + SIGN_OF_LIFE_TIME < now)
+        {
             self.suspect(now, incarnation, out);
         }
     }
@@ -228,7 +239,7 @@
         dial_end: DialEnd,
         out: &mut Vec<Effect>,
     ) {
-        let dial = self.sockets.dial_timeout;
+        let dial_timeout = self.sockets.dial_timeout;
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         if node.retired {
             if node.links.is_empty() {
@@ -236,36 +247,60 @@
             }
             return;
         }
-        let up = node.links.iter().any(|link| self.links.get(link).is_some_and(Link::is_up));
+        let is_up = node.links.iter().any(|link| self.links.get(link).is_some_and(Link::is_up));
+        let limits = self.detector_limits(is_up);
         let has_lost_attempts = self.lost_attempts(incarnation).next().is_some();
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         if node.dead || (!node.has_sessions() && !has_lost_attempts) {
             node.suspicion = None;
             return;
         }
-        let since = if dial_end == DialEnd::TimedOut { now.saturating_sub(dial) } else { now };
-        let suspicion = node.suspicion.get_or_insert(Suspicion::new(since, true));
-        if node.last_heard > suspicion.since {
+        let dial_began = if dial_end == DialEnd::TimedOut { now.saturating_sub(dial_timeout) } else { now };
+        let suspicion = node.suspicion.get_or_insert(Suspicion::new(dial_began, true));
+        if node.detector.last_heard() > suspicion.since {
             // It sends on another connection and only accepts no new one.
             node.suspicion = None;
             return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
         }
-        suspicion.refused_dials += u32::from(dial_end == DialEnd::Refused);
-        let ask = up && !std::mem::replace(&mut suspicion.asked, true);
-        let refused =
-            suspicion.refused_dials >= if up { DEAD_AFTER_REFUSALS_WITH_LINK } else { DEAD_AFTER_REFUSALS };
-        let dead = refused || (dial_end == DialEnd::TimedOut && now - suspicion.since >= DEAD_AFTER_SILENCE);
-        if dead {
+        let verdict = match dial_end {
+            DialEnd::Refused => {
+                node.detector.dial_failed(now, FailedDial::Refused, Some(suspicion.since), &limits)
+            }
+            DialEnd::TimedOut => {
+                node.detector.dial_failed(now, FailedDial::TimedOut, Some(suspicion.since), &limits)
+            }
+            DialEnd::Failed => Verdict::Suspected,
+        };
+        let next_dial_at = match dial_end {
+            DialEnd::Failed => now + REDIAL_INTERVAL,
+            _ => node.detector.next_dial_at(now, &limits),
+        };
+        let ask = is_up && !std::mem::replace(&mut suspicion.asked, true);
+        if verdict == Verdict::Dead {
             let (server, sessions) = (node.server.0, node.playing.len());
             let line =
                 format!("s-{server:08x} held to be dead: {dial_end:?}, {sessions} sessions stood there");
             out.push(Effect::Log("node-dead", line));
-            self.end_incarnation(now, incarnation, out);
-        } else {
-            if ask {
-                self.request_sign_of_life(now, incarnation, out);
-            }
-            self.schedule_redial(now, incarnation);
+            return self.end_incarnation(now, incarnation, out);
+        }
+        if verdict == Verdict::Unreachable {
+            self.end_lost_attempts(incarnation, Outcome::Broken);
+        }
+        if ask {
+            self.request_sign_of_life(now, incarnation, out);
+        }
+        self.schedule_redial(next_dial_at, incarnation);
+    }
+
+    /// Limits of the failure detectors; `has_link`: a connection to the node is up.
+    fn detector_limits(&self, has_link: bool) -> Limits {
+        let refusals = if has_link { UNREACHABLE_REFUSALS_WITH_LINK } else { UNREACHABLE_REFUSALS };
+        Limits {
+            unreachable_refusals: refusals,
+            unreachable_after: CHECK_TIME,
+            dead_after: END_NOTICE_LIMIT.saturating_sub(self.sockets.dial_timeout + END_NOTICE_MARGIN),
+            first_pause: REDIAL_INTERVAL,
+            longest_pause: LONGEST_REDIAL_PAUSE,
         }
     }
 
@@ -281,7 +316,7 @@
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         match node.asked_at {
             Some(at) if at + RETIRED_ANSWER_TIME > now => return,
-            Some(at) if node.last_heard < at => return self.end_incarnation(now, incarnation, out),
+            Some(at) if node.last_heard() < at => return self.end_incarnation(now, incarnation, out),
             _ => node.asked_at = Some(now),
         }
         self.request_sign_of_life(now, incarnation, out);
@@ -307,11 +342,8 @@
     /// to detect a vanished machine. Each front and node draws up to an eighth less each time, so that fronts
     /// that received a message of a node at the same moment do not all check it at the same moment.
     fn quiet_limit(&self, incarnation: IncarnationId, last_heard: Time) -> Time {
-        let detection = SWEEP_INTERVAL
-            + DEAD_AFTER_SILENCE
-            + self.sockets.dial_timeout
-            + REDIAL_INTERVAL
-            + END_NOTICE_MARGIN;
+        let detection =
+            SWEEP_INTERVAL + CHECK_TIME + self.sockets.dial_timeout + REDIAL_INTERVAL + END_NOTICE_MARGIN;
         let limit = END_NOTICE_LIMIT.saturating_sub(detection);
         let draw = (incarnation.0 ^ last_heard).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56;
         limit - limit / 8 * draw / 256
@@ -323,7 +355,7 @@
 
     /// Whether the node was silent for longer than a node with playing sessions may be.
     pub(super) fn is_quiet(&self, now: Time, id: IncarnationId, node: &Incarnation) -> bool {
-        node.last_heard.saturating_add(self.quiet_limit(id, node.last_heard)) < now
+        node.last_heard().saturating_add(self.quiet_limit(id, node.last_heard())) < now
     }
 
     /// Asks for a sign of life of a node that was silent for long, by half-closing a spare connection, else
@@ -338,7 +370,8 @@
     pub(super) fn sweep_incarnations(&mut self, now: Time, out: &mut Vec<Effect>) {
         let quiet = |id: &IncarnationId, node: &Incarnation| {
             let is_checked = node.is_suspected() || self.has_half_closed_link(node);
-            node.links.is_empty() || (!is_checked && self.is_quiet(now, *id, node))
+            let is_unconnected = node.links.is_empty() && !node.has_scheduled_redial();
+            is_unconnected || (!is_checked && self.is_quiet(now, *id, node))
         };
         let all = self.incarnations.iter().filter(|(id, node)| node.is_watched() && quiet(id, node));
         let quiet: Vec<_> = all.map(|(id, _)| *id).collect();
--- a/crates/platform/src/core/mod.rs
+++ b/crates/platform/src/core/mod.rs
@@ -272,6 +272,7 @@
             Input::LinkUp(link) => self.link_up(now, link, out),
             Input::DialFailed(link, dial_end) => self.dial_failed(now, link, dial_end, out),
             Input::LinkDown(link) => self.link_down(now, link, out),
+            Input::LinkReset(link) => self.link_reset(now, link, out),
             Input::LinkEndedByNode(link) => self.link_ended_by_node(now, link, out),
             Input::NodeMessage(link, message) => self.node_message(now, link, message, out),
             Input::NodeList(entries) => {
--- a/crates/platform/src/core/places.rs
+++ b/crates/platform/src/core/places.rs
@@ -28,7 +28,7 @@
 type Urgency = (bool, Time, IncarnationId);
 
 fn urgency(id: IncarnationId, node: &Incarnation) -> Urgency {
-    (!node.is_being_dialled_for_check(), node.last_heard, id)
+    (!node.is_being_dialled_for_check(), node.last_heard(), id)
 }
 
 impl Core {
@@ -136,7 +136,7 @@
         let nodes = self.incarnations.iter();
         let unsuspected = nodes
             .filter(|(id, node)| node.may_dial() && !node.is_suspected() && !self.is_quiet(now, **id, node));
-        let idle = unsuspected.filter_map(|(id, node)| Some((node.last_heard, self.idle_link(*id)?)));
+        let idle = unsuspected.filter_map(|(id, node)| Some((node.last_heard(), self.idle_link(*id)?)));
         idle.max_by_key(|(last_heard, _)| *last_heard).map(|(_, link)| link)
     }
 }
--- a/crates/platform/src/core/types.rs
+++ b/crates/platform/src/core/types.rs
@@ -226,9 +226,11 @@
     LinkUp(LinkId),
     /// A dial failed.
     DialFailed(LinkId, DialEnd),
-    /// A connection to a node broke or was closed.
+    /// A connection to a node broke, or was closed by this side.
     LinkDown(LinkId),
-    /// The node closed a connection after this side had half-closed it.
+    /// The node, or the system that it runs on, reset a connection.
+    LinkReset(LinkId),
+    /// The node closed a connection in order.
     LinkEndedByNode(LinkId),
     /// A node sent a message.
     NodeMessage(LinkId, FromNode),
@@ -254,6 +256,7 @@
             Self::LinkUp(link) => f.debug_tuple("LinkUp").field(link).finish(),
             Self::DialFailed(link, end) => f.debug_tuple("LinkFailed").field(link).field(end).finish(),
             Self::LinkDown(link) => f.debug_tuple("LinkDown").field(link).finish(),
+            Self::LinkReset(link) => f.debug_tuple("LinkReset").field(link).finish(),
             Self::LinkEndedByNode(link) => f.debug_tuple("LinkShut").field(link).finish(),
             Self::NodeMessage(link, message) => f.debug_tuple("Node").field(link).field(message).finish(),
             Self::NodeList(entries) => f.debug_tuple("Nodes").field(entries).finish(),
--- a/crates/platform/src/peer.rs
+++ b/crates/platform/src/peer.rs
@@ -23,10 +23,12 @@
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndReason {
-    /// The peer closed or reset it.
+    /// The peer closed it.
     Gone,
-    /// The peer closed it after this side had shut down its sending half.
-    Shut,
+    /// The peer, or the system that it runs on, reset it.
+    Reset,
+    /// It broke, and nothing was seen of the peer.
+    Broken,
     /// This side closed it.
     Closed,
     /// The received bytes are not a message.
@@ -37,6 +39,16 @@
     Slow,
 }
 
+impl EndReason {
+    /// Why a connection ended on which reading or writing failed.
+    fn of_error(error: &io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Self::Reset,
+            _ => Self::Broken,
+        }
+    }
+}
+
 /// State of the sending half of a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum SendHalf {
@@ -186,12 +198,11 @@
         let mut buffer = [0u8; READ_BUFFER_BYTES];
         while inbox.has_room() {
             let n = match read(&mut buffer) {
-                Ok(0) if self.send_half.get() == SendHalf::Shut => return inbox.set_end(EndReason::Shut),
                 Ok(0) => return inbox.set_end(EndReason::Gone),
                 Ok(n) => n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                Err(_) => return inbox.set_end(EndReason::Gone),
+                Err(e) => return inbox.set_end(EndReason::of_error(&e)),
             };
             self.last_received.set(Instant::now());
             inbox.receive(&buffer[..n]);
@@ -273,7 +284,7 @@
                 biased;
                 ready = self.stream.writable(), if has_queued => {
                     if ready.is_err() || !self.flush() {
-                        return EndReason::Gone;
+                        return EndReason::Reset;
                     }
                 }
                 () = self.wake.notified() => {
@@ -287,7 +298,7 @@
                 }
                 ready = self.stream.readable() => {
                     if ready.is_err() {
-                        return EndReason::Gone;
+                        return EndReason::Broken;
                     }
                     self.fill_inbox(|buffer| self.stream.try_read(buffer));
                 }
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -87,7 +87,11 @@
         trace!(event = "input", ?input);
         let is_link_event = matches!(
             input,
-            Input::LinkUp(_) | Input::DialFailed(..) | Input::LinkDown(_) | Input::LinkEndedByNode(_)
+            Input::LinkUp(_)
+                | Input::DialFailed(..)
+                | Input::LinkDown(_)
+                | Input::LinkReset(_)
+                | Input::LinkEndedByNode(_)
         );
         if self.closing_connections.get() && is_link_event {
             // These connections end because the front does: that is no evidence about a node, and none is replaced.
@@ -294,16 +298,17 @@
                 }
             })
             .await;
-        if !matches!(end, EndReason::Gone | EndReason::Closed | EndReason::Shut) && self.may_warn("noise") {
+        let is_noise = matches!(end, EndReason::Noise | EndReason::Unreadable(_) | EndReason::Slow);
+        if is_noise && self.may_warn("noise") {
             warn!(event = "node-noise", %address, ?end, "the connection to a node was closed");
         }
         self.nodes.borrow_mut().remove(&id);
         // The socket is closed before the core is notified: closing it cancels the set-ups in progress on it.
         drop(peer);
-        self.handle_input(if end == EndReason::Shut {
-            Input::LinkEndedByNode(id)
-        } else {
-            Input::LinkDown(id)
+        self.handle_input(match end {
+            EndReason::Gone => Input::LinkEndedByNode(id),
+            EndReason::Reset => Input::LinkReset(id),
+            _ => Input::LinkDown(id),
         });
     }
 
