Test: a crashed node's viewers are told within the protocol's limit, not the patience

Cause: viewers_of_a_crashed_node_get_an_event_from_the_front waited 4 s, the viewers' patience for an answer, which is no limit on notices; refused dials alone end no sessions any more.

Change: it waits for the protocol's 8 s and 50 ms, as serve_refusals does, from the crash on.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -20,6 +20,8 @@
 pub const SECOND: Duration = Duration::from_secs(1);
 /// Timeout of a test's waits; equal to the viewers' patience in [`settings`].
 pub const PATIENCE: Duration = Duration::from_secs(4);
+/// Time in which a viewer must know of the end of its session, by the protocol.
+pub const END_NOTICE_LIMIT: Duration = Duration::from_millis(8_050);
 /// Header of a request with an SDP offer.
 pub const SDP: (&str, &str) = ("content-type", "application/sdp");
 /// Header of a request with a trickle fragment.
