Liveness: only a dial that began after the limit ends sessions

Cause: a dial that timed out after the limit, but had begun before it, gave the verdict, though the node came back meanwhile.

Change: the verdict needs a dial that began after the limit, which comes one dial sooner for it; no dial begins shortly before, and after it there is a pause in any case, since a dial may fail at once.

--- a/crates/front/src/engine/node_watch.rs
+++ b/crates/front/src/engine/node_watch.rs
@@ -55,11 +55,14 @@
 
 impl Engine {
     fn detector_limits(&self) -> Limits {
-        let reserved = self.config.connect_timeout.saturating_add(END_NOTICE_MARGIN);
+        // A dial that began before may be in the way of the one that counts.
+        let dial_timeout = self.config.connect_timeout;
+        let reserved = dial_timeout.saturating_mul(2).saturating_add(END_NOTICE_MARGIN);
         Limits {
             unreachable_refusals: UNREACHABLE_REFUSALS,
             unreachable_after: UNREACHABLE_AFTER,
             dead_after: END_NOTICE_LIMIT.saturating_sub(reserved),
+            dial_timeout,
             first_pause: FIRST_REDIAL_PAUSE,
             longest_pause: LONGEST_REDIAL_PAUSE,
         }
@@ -124,7 +127,11 @@
     fn judge_failed_dial(&mut self, now: Time, node: ServerId, end: FailedDial, effects: &mut Vec<Effect>) {
         let limits = self.detector_limits();
         let Some(state) = self.nodes.get_mut(&node) else { return };
-        if state.watch.detector.dial_failed(now, end, None, &limits) == Verdict::Dead {
+        let began = match end {
+            FailedDial::Refused => now,
+            FailedDial::TimedOut => now.saturating_sub(limits.dial_timeout),
+        };
+        if state.watch.detector.dial_failed(began, now, end, None, &limits) == Verdict::Dead {
             return self.give_up_sessions(now, node, effects);
         }
         let next_dial_at = state.watch.detector.next_dial_at(now, &limits);
--- a/crates/front/src/engine/tests.rs
+++ b/crates/front/src/engine/tests.rs
@@ -267,6 +267,9 @@
     while harness.now < until && !harness.engine.resources.is_empty() {
         if opened(harness) > failed {
             failed += 1;
+            if end == FailedDial::TimedOut {
+                harness.advance(250 * MS);
+            }
             harness.input(Input::StreamEnded(node, StreamEnd::DialFailed(Some(end))));
         }
         harness.advance(10 * MS);
--- a/crates/liveness/src/lib.rs
+++ b/crates/liveness/src/lib.rs
@@ -10,8 +10,8 @@
 //! The verdict has two levels, by what a wrong one costs. [`Verdict::Unreachable`] is given soon: nothing new is sent to
 //! the node for a while, and set-ups whose connection broke are given up. [`Verdict::Dead`] ends sessions, which a node that
 //! lives plays on. So it is given only to an unreachable node, when the time in which the end of a session must be known is
-//! over: [`Limits::dead_after`] without a sign of life, and a dial that failed after it. Until then dials are repeated,
-//! with pauses that double.
+//! over: [`Limits::dead_after`] without a sign of life, and a failed dial that began after it. Until then dials are
+//! repeated, with pauses that double.
 //!
 //! All times are in nanoseconds, on a clock that does not go back.
 
@@ -25,9 +25,12 @@
     pub unreachable_refusals: u32,
     /// Time since the first doubt after which any failed dial shows that a node is unreachable.
     pub unreachable_after: Time,
-    /// Time without a sign of life after which a failed dial shows that an unreachable node is dead. The verdict comes later than this
-    /// by the duration of a dial at most, if a dial is begun when [`FailureDetector::next_dial_at`] says.
+    /// Time without a sign of life after which a failed dial shows that an unreachable node is dead. The verdict comes
+    /// later than this by the time of two dials and the first pause at most, if they begin when
+    /// [`FailureDetector::next_dial_at`] says.
     pub dead_after: Time,
+    /// Time after which a dial that has not come up is given up.
+    pub dial_timeout: Time,
     /// Pause before the second dial.
     pub first_pause: Time,
     /// Longest pause between two dials.
@@ -91,9 +94,10 @@
         *self = Self { last_heard: self.last_heard, ..Self::new(now) };
     }
 
-    /// A dial failed now. `doubted_since` is when the caller began to doubt that the node lives, if that was before.
+    /// A dial that began at `began` failed now. `doubted_since` is when the caller began to doubt that the node lives, if that was before.
     pub fn dial_failed(
         &mut self,
+        began: Time,
         now: Time,
         end: FailedDial,
         doubted_since: Option<Time>,
@@ -104,7 +108,7 @@
         self.failed_dials = self.failed_dials.saturating_add(1);
         self.refused_dials = self.refused_dials.saturating_add(u32::from(end == FailedDial::Refused));
         let is_unreachable = now >= self.unreachable_at(limits);
-        match (is_unreachable, now >= self.dead_at(limits)) {
+        match (is_unreachable, began >= self.dead_at(limits)) {
             (false, _) => Verdict::Suspected,
             (true, false) => Verdict::Unreachable,
             (true, true) => Verdict::Dead,
@@ -126,8 +130,8 @@
         }
     }
 
-    /// When to dial next after one that failed now: after a pause that doubles, but not past the time from which on a
-    /// failed dial shows that the node is dead.
+    /// When to dial next after one that failed now: after a pause that doubles, but as soon as a failed dial shows that the
+    /// node is dead, and not shortly before, since that dial would show nothing and delay the one that does.
     #[must_use]
     pub fn next_dial_at(&self, now: Time, limits: &Limits) -> Time {
         let doublings = self.failed_dials.saturating_sub(1).min(u64::BITS - 1);
@@ -135,7 +139,11 @@
         let pause = limits.first_pause.saturating_mul(factor).min(limits.longest_pause);
         let next = now.saturating_add(pause);
         let verdict_at = self.dead_at(limits).max(self.unreachable_at(limits));
-        if verdict_at > now { next.min(verdict_at) } else { next }
+        if next.saturating_add(limits.dial_timeout) <= verdict_at {
+            return next;
+        }
+        // A dial may fail at once, so that there is a pause in any case.
+        if verdict_at > now { verdict_at } else { now.saturating_add(limits.first_pause) }
     }
 }
 
--- a/crates/liveness/src/tests.rs
+++ b/crates/liveness/src/tests.rs
@@ -9,7 +9,8 @@
 const LIMITS: Limits = Limits {
     unreachable_refusals: 2,
     unreachable_after: 2_000 * MS,
-    dead_after: 7_500 * MS,
+    dead_after: 7_250 * MS,
+    dial_timeout: DIAL_TIMEOUT,
     first_pause: 100 * MS,
     longest_pause: 800 * MS,
 };
@@ -42,8 +43,9 @@
             Fault::Mixed => rng.random_bool(0.5),
         };
         let end = if refused { FailedDial::Refused } else { FailedDial::TimedOut };
+        let began = now;
         now += if refused { MS } else { DIAL_TIMEOUT };
-        if node.dial_failed(now, end, Some(0), &LIMITS) == Verdict::Dead {
+        if node.dial_failed(began, now, end, Some(0), &LIMITS) == Verdict::Dead {
             return (Verdict::Dead, now, dials);
         }
         now = node.next_dial_at(now, &LIMITS);
@@ -87,7 +89,7 @@
 #[test]
 fn refusals_make_a_node_unreachable_long_before_they_end_its_sessions() {
     let mut node = FailureDetector::new(0);
-    let mut refuse = |now| node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+    let mut refuse = |now| node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
     assert_eq!(refuse(MS), Verdict::Suspected);
     assert_eq!(refuse(100 * MS), Verdict::Unreachable);
     assert_eq!(refuse(LIMITS.dead_after - 1), Verdict::Unreachable);
@@ -97,7 +99,7 @@
 #[test]
 fn silence_makes_a_node_unreachable_after_the_limit_for_it_and_not_by_the_number_of_dials() {
     let mut node = FailureDetector::new(0);
-    let mut time_out = |now| node.dial_failed(now, FailedDial::TimedOut, Some(1_000 * MS), &LIMITS);
+    let mut time_out = |now| node.dial_failed(now, now, FailedDial::TimedOut, Some(1_000 * MS), &LIMITS);
     for now in 1..10 {
         assert_eq!(time_out(1_000 * MS + now * DIAL_TIMEOUT.min(200 * MS)), Verdict::Suspected);
     }
@@ -107,35 +109,56 @@
 #[test]
 fn a_sign_of_life_ends_every_doubt() {
     let mut node = FailureDetector::new(0);
-    node.dial_failed(MS, FailedDial::Refused, None, &LIMITS);
+    node.dial_failed(MS, MS, FailedDial::Refused, None, &LIMITS);
     node.heard(7_000 * MS);
     assert_eq!(node.last_heard(), 7_000 * MS);
-    assert_eq!(node.dial_failed(7_001 * MS, FailedDial::Refused, None, &LIMITS), Verdict::Suspected);
+    assert_eq!(
+        node.dial_failed(7_001 * MS, 7_001 * MS, FailedDial::Refused, None, &LIMITS),
+        Verdict::Suspected
+    );
     assert_eq!(node.next_dial_at(7_001 * MS, &LIMITS), 7_101 * MS, "pauses begin anew");
     assert_eq!(node.dead_at(&LIMITS), 7_000 * MS + LIMITS.dead_after);
 }
 
 #[test]
-fn pauses_double_up_to_the_longest_and_never_pass_the_verdict() {
+fn pauses_double_up_to_the_longest_and_a_dial_begins_when_the_verdict_is_due() {
     let mut node = FailureDetector::new(0);
     let mut now = 0;
     let mut pauses = Vec::new();
     while now < LIMITS.dead_after {
-        node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+        assert!(
+            now + DIAL_TIMEOUT <= LIMITS.dead_after,
+            "a dial at {now} is in the way of the one that counts"
+        );
+        node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
         let next = node.next_dial_at(now, &LIMITS);
         pauses.push((next - now) / MS);
         now = next;
     }
     assert_eq!(pauses[..5], [100, 200, 400, 800, 800]);
     assert_eq!(now, LIMITS.dead_after);
-    node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
-    assert!(node.next_dial_at(now, &LIMITS) > now);
+    assert_eq!(node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS), Verdict::Dead);
+}
+
+/// Guards against a verdict by a dial that began when the node was still allowed to be away.
+#[test]
+fn a_dial_that_began_before_the_limit_ends_nothing_and_the_next_one_follows_soon() {
+    let mut node = FailureDetector::new(0);
+    node.dial_failed(0, 0, FailedDial::Refused, None, &LIMITS);
+    let (began, ended) = (LIMITS.dead_after - 1, LIMITS.dead_after - 1 + DIAL_TIMEOUT);
+    let verdict = node.dial_failed(began, ended, FailedDial::TimedOut, None, &LIMITS);
+    assert_eq!(verdict, Verdict::Unreachable);
+    let next = node.next_dial_at(ended, &LIMITS);
+    assert_eq!(next, ended + LIMITS.first_pause);
+    let verdict = node.dial_failed(next, next + DIAL_TIMEOUT, FailedDial::TimedOut, None, &LIMITS);
+    assert_eq!(verdict, Verdict::Dead);
 }
 
 #[test]
 fn a_node_that_was_not_watched_has_the_whole_time_and_one_failed_dial_never_ends_it() {
     let long_ago = 60_000 * MS;
-    let refuse = |node: &mut FailureDetector, now| node.dial_failed(now, FailedDial::Refused, None, &LIMITS);
+    let refuse =
+        |node: &mut FailureDetector, now| node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
     let mut node = FailureDetector::new(0);
     node.watch_from(long_ago);
     assert_eq!(node.last_heard(), 0);
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -262,13 +262,11 @@
             node.suspicion = None;
             return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
         }
+        let doubted_since = Some(suspicion.since);
+        let mut judge = |end| node.detector.dial_failed(dial_began, now, end, doubted_since, &limits);
         let verdict = match dial_end {
-            DialEnd::Refused => {
-                node.detector.dial_failed(now, FailedDial::Refused, Some(suspicion.since), &limits)
-            }
-            DialEnd::TimedOut => {
-                node.detector.dial_failed(now, FailedDial::TimedOut, Some(suspicion.since), &limits)
-            }
+            DialEnd::Refused => judge(FailedDial::Refused),
+            DialEnd::TimedOut => judge(FailedDial::TimedOut),
             DialEnd::Failed => Verdict::Suspected,
         };
         let next_dial_at = match dial_end {
@@ -298,7 +296,9 @@
         Limits {
             unreachable_refusals: refusals,
             unreachable_after: CHECK_TIME,
-            dead_after: END_NOTICE_LIMIT.saturating_sub(self.sockets.dial_timeout + END_NOTICE_MARGIN),
+            // A dial that began before may be in the way of the one that counts.
+            dead_after: END_NOTICE_LIMIT.saturating_sub(2 * self.sockets.dial_timeout + END_NOTICE_MARGIN),
+            dial_timeout: self.sockets.dial_timeout,
             first_pause: REDIAL_INTERVAL,
             longest_pause: LONGEST_REDIAL_PAUSE,
         }
