Serve: a copy of a request under way joins it at a front that stops or is full

Cause: a request was refused for the stop, or for a full front, before it was seen to be a copy of one under way.

Change: copies are admitted first, as at a fenced front.

--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -320,7 +320,10 @@
             self.config.decisions.send_retry_after.then_some(self.config.decisions.max_retry_after);
         let full = self.tickets.len() + self.parked.len() >= limits.waiting
             || self.sessions.len() >= limits.sessions;
+        // A copy of a request whose set-up is under way waits for its answer: a refusal would say that a new try does no harm.
+        let is_copy = self.viewers.is_duplicate(request.viewer, request.offer_hash);
         let refusal = match (self.stopping, full) {
+            _ if is_copy => None,
             (true, _) => Some(Refusal::Stopping),
             (_, true) => Some(Refusal::Overload),
             _ => None,
--- a/crates/front/src/engine/tests.rs
+++ b/crates/front/src/engine/tests.rs
@@ -256,6 +256,26 @@
     assert!(harness.answer(1).is_none() && harness.engine.is_idle());
 }
 
+/// Guards against a refusal, which says that a new try does no harm, while a copy of the request is being served.
+#[test]
+fn a_copy_of_a_request_joins_it_at_a_front_that_stops_or_is_full() {
+    for stops in [true, false] {
+        let mut harness = Harness::with(&SETTINGS.replace("inventory x", "inventory x\nmax-waiting 1"), 4);
+        harness.input(Input::Post(Ticket(1), request(1, 1)));
+        if stops {
+            harness.engine.stop();
+        }
+        harness.input(Input::Post(Ticket(2), request(1, 1)));
+        harness.input(Input::Post(Ticket(3), request(2, 2)));
+        assert!(harness.answer(2).is_none(), "it waits for the answer to the first");
+        assert!(matches!(harness.answer(3), Some(Answer::Refused(..))));
+        let id = harness.only_attempt();
+        harness.end_attempt(id, created("/s/1"));
+        assert_eq!(harness.answer(1), harness.answer(2));
+        assert!(matches!(harness.answer(2), Some(Answer::Created { .. })));
+    }
+}
+
 /// Fails each dial of the only node's event stream until `until`, or until its sessions have ended; returns the number of
 /// dials.
 fn fail_dials(harness: &mut Harness, end: FailedDial, until: Time) -> usize {
