--- a/crates/front/src/session_api.rs
+++ b/crates/front/src/session_api.rs
@@ -388,6 +388,7 @@
         _ => return Err(unknown_session()),
     };
     let kind = if is_answer { SDP_TYPE } else { FRAGMENT_TYPE };
+    let _unanswered = shell.begin_forwarding();
     let forwarded =
         shell.upstream().patch(node, &path, kind, tag.as_deref(), body.bytes.clone(), PATCH_TIMEOUT).await;
     let (status, etag, kind, bytes) = forwarded.map_err(|_| {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -70,6 +70,8 @@
     layers: RefCell<PendingLayers>,
     /// Number of requests to nodes in progress whose result nobody waits for.
     background_requests: Cell<usize>,
+    /// Number of clients' requests that are forwarded to their nodes at present.
+    forwarded_requests: Cell<usize>,
     last_warning: Cell<Option<Instant>>,
     upstream: Upstream,
     /// This front's I/O with the other fronts.
@@ -111,6 +113,16 @@
     }
 }
 
+/// A client's request that is forwarded to its node. A stop waits until it is dropped.
+pub struct ForwardedRequest(Rc<Shell>);
+
+impl Drop for ForwardedRequest {
+    fn drop(&mut self) {
+        self.0.forwarded_requests.set(self.0.forwarded_requests.get() - 1);
+        self.0.work_done.notify_one();
+    }
+}
+
 impl Shell {
     /// Passes an input to the engine and executes the resulting effects.
     pub fn drive(self: &Rc<Self>, input: Input) {
@@ -130,6 +142,12 @@
         pending.answer().await
     }
 
+    /// Counts a client's request that is forwarded to its node, until the result is dropped.
+    pub fn begin_forwarding(self: &Rc<Self>) -> ForwardedRequest {
+        self.forwarded_requests.set(self.forwarded_requests.get() + 1);
+        ForwardedRequest(self.clone())
+    }
+
     /// Where to forward a request on a session: its route, and the address of the node.
     pub fn route(&self, resource: &str) -> (Route, Option<SocketAddr>) {
         let engine = self.engine.borrow();
@@ -418,6 +436,7 @@
             streams: RefCell::default(),
             layers: RefCell::default(),
             background_requests: Cell::new(0),
+            forwarded_requests: Cell::new(0),
             last_warning: Cell::new(None),
             upstream,
             timers_changed: Notify::new(),
@@ -474,7 +493,7 @@
         let _ = self.phase.send(Phase::Stopping);
         let longest = shell.engine(|e, _| e.longest_patience());
         let engine_idle = async {
-            while !shell.engine.borrow().is_idle() {
+            while !shell.engine.borrow().is_idle() || shell.forwarded_requests.get() > 0 {
                 shell.work_done.notified().await;
             }
         };
--- a/crates/playout/src/node.rs
+++ b/crates/playout/src/node.rs
@@ -94,6 +94,8 @@
     pub malformed_answer: f64,
     /// Delay added to each set-up, milliseconds.
     pub slow_ms: u64,
+    /// Delay of each PATCH, milliseconds.
+    pub slow_patch_ms: u64,
     /// Continues a set-up after the front has closed its sending side, and answers late.
     #[serde(rename = "deaf")]
     pub ignore_half_close: bool,
--- a/crates/playout/src/server.rs
+++ b/crates/playout/src/server.rs
@@ -509,6 +509,8 @@
     let tag = request_header(&request, &IF_MATCH).to_owned();
     let is_fragment = request_header(&request, &CONTENT_TYPE).starts_with(FRAGMENT_TYPE);
     let body = Limited::new(request.into_body(), 64 << 10).collect().await?.to_bytes();
+    let delay = Duration::from_millis(node.borrow().faults.slow_patch_ms);
+    tokio::time::sleep(delay).await;
     let mut n = node.borrow_mut();
     let Some(s) = n.sessions.get_mut(id) else { return Ok(response(404, "")) };
     let fragment = match (is_fragment, Fragment::parse(&body)) {
