--- a/crates/front/src/engine/node_watch.rs
+++ b/crates/front/src/engine/node_watch.rs
@@ -9,21 +9,12 @@
 use super::types::*;
 use super::{Engine, Timer};
 use pepperhook::{Outcome, ServerId, ServerState, SessionId, Time};
-use pepperhook_liveness::{FailedDial, FailureDetector, Limits, Verdict};
+use pepperhook_liveness::{FIRST_REDIAL_PAUSE, FailedDial, FailureDetector, Limits, Verdict};
 use std::collections::BTreeSet;
 
 const MS: Time = 1_000_000;
 /// Time in which the end of a session must be known.
 const END_NOTICE_LIMIT: Time = 8_000 * MS;
-/// Part of [`END_NOTICE_LIMIT`] reserved for a delay of this process.
-const END_NOTICE_MARGIN: Time = 250 * MS;
-/// Refused dials after which a node is unreachable.
-const UNREACHABLE_REFUSALS: u32 = 2;
-/// Time of failed dials after which a node is unreachable.
-const UNREACHABLE_AFTER: Time = 2_000 * MS;
-/// Pauses between two dials.
-const FIRST_REDIAL_PAUSE: Time = 100 * MS;
-const LONGEST_REDIAL_PAUSE: Time = 800 * MS;
 /// Pause after a node that can be reached has not opened a stream.
 const REFUSED_STREAM_PAUSE: Time = 500 * MS;
 /// Pause between attempts to delete sessions that were given up.
@@ -55,17 +46,7 @@
 
 impl Engine {
     fn detector_limits(&self) -> Limits {
-        // A dial that began before may be in the way of the one that counts.
-        let dial_timeout = self.config.connect_timeout;
-        let reserved = dial_timeout.saturating_mul(2).saturating_add(END_NOTICE_MARGIN);
-        Limits {
-            unreachable_refusals: UNREACHABLE_REFUSALS,
-            unreachable_after: UNREACHABLE_AFTER,
-            dead_after: END_NOTICE_LIMIT.saturating_sub(reserved),
-            dial_timeout,
-            first_pause: FIRST_REDIAL_PAUSE,
-            longest_pause: LONGEST_REDIAL_PAUSE,
-        }
+        Limits::new(END_NOTICE_LIMIT, self.config.connect_timeout)
     }
 
     /// A sign of life of a node came at this time.
--- a/crates/liveness/src/lib.rs
+++ b/crates/liveness/src/lib.rs
@@ -18,6 +18,18 @@
 /// A time or a duration in nanoseconds.
 pub type Time = u64;
 
+const MS: Time = 1_000_000;
+/// Part of the time in which an end must be known that is reserved for the way to the viewer and a delay of this process.
+pub const END_NOTICE_MARGIN: Time = 250 * MS;
+/// Time of failed dials after which a node is unreachable.
+pub const CHECK_TIME: Time = 2_000 * MS;
+/// Pause between the first two dials.
+pub const FIRST_REDIAL_PAUSE: Time = 100 * MS;
+/// Longest pause between two dials.
+const LONGEST_REDIAL_PAUSE: Time = 800 * MS;
+/// Refused dials after which a node is unreachable.
+const UNREACHABLE_REFUSALS: u32 = 2;
+
 /// Limits of a detector.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -37,6 +49,24 @@
     pub longest_pause: Time,
 }
 
+impl Limits {
+    /// Limits by which the end of a session at a dead node is known within `end_notice_limit`, if a dial is given up after
+    /// `dial_timeout`.
+    #[must_use]
+    pub fn new(end_notice_limit: Time, dial_timeout: Time) -> Self {
+        // A dial that began before may be in the way of the one that counts.
+        let reserved = dial_timeout.saturating_mul(2).saturating_add(END_NOTICE_MARGIN);
+        Self {
+            unreachable_refusals: UNREACHABLE_REFUSALS,
+            unreachable_after: CHECK_TIME,
+            dead_after: end_notice_limit.saturating_sub(reserved),
+            dial_timeout,
+            first_pause: FIRST_REDIAL_PAUSE,
+            longest_pause: LONGEST_REDIAL_PAUSE,
+        }
+    }
+}
+
 /// How a dial failed, for a reason that lies with the node or the way to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailedDial {
--- a/crates/liveness/src/tests.rs
+++ b/crates/liveness/src/tests.rs
@@ -4,19 +4,16 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const MS: Time = 1_000_000;
 const DIAL_TIMEOUT: Time = 250 * MS;
-const LIMITS: Limits = Limits {
-    unreachable_refusals: 2,
-    unreachable_after: 2_000 * MS,
-    dead_after: 7_250 * MS,
-    dial_timeout: DIAL_TIMEOUT,
-    first_pause: 100 * MS,
-    longest_pause: 800 * MS,
-};
+/// By the protocol, an end must be known within this time.
+const END_NOTICE_LIMIT: Time = 8_000 * MS;
 const SCHEDULES: u64 = 1_000;
 const MAX_DIALS: u32 = 16;
 
+fn limits() -> Limits {
+    Limits::new(END_NOTICE_LIMIT, DIAL_TIMEOUT)
+}
+
 /// What dials meet for a time.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -45,10 +42,10 @@
         let end = if refused { FailedDial::Refused } else { FailedDial::TimedOut };
         let began = now;
         now += if refused { MS } else { DIAL_TIMEOUT };
-        if node.dial_failed(began, now, end, Some(0), &LIMITS) == Verdict::Dead {
+        if node.dial_failed(began, now, end, Some(0), &limits()) == Verdict::Dead {
             return (Verdict::Dead, now, dials);
         }
-        now = node.next_dial_at(now, &LIMITS);
+        now = node.next_dial_at(now, &limits());
     }
 }
 
@@ -62,7 +59,7 @@
     let mut most_dials = 0;
     for seed in 0..SCHEDULES {
         let mut rng = StdRng::seed_from_u64(seed);
-        let (fault, lasts) = (random_fault(&mut rng), rng.random_range(0..LIMITS.dead_after));
+        let (fault, lasts) = (random_fault(&mut rng), rng.random_range(0..limits().dead_after));
         let (verdict, _, dials) = watch(&mut rng, fault, lasts);
         assert_eq!(verdict, Verdict::Alive, "seed {seed}: {fault:?} for {lasts} ns");
         most_dials = most_dials.max(dials);
@@ -82,42 +79,42 @@
         (slowest, most_dials) = (slowest.max(at), most_dials.max(dials));
     }
     println!("{SCHEDULES} dead nodes: found within {} ms, at most {most_dials} dials", slowest / MS);
-    assert!(slowest <= LIMITS.dead_after + DIAL_TIMEOUT);
+    assert!(slowest <= limits().dead_after + DIAL_TIMEOUT && limits().dead_after == 7_250 * MS);
     assert!(most_dials <= MAX_DIALS);
 }
 
 #[test]
 fn refusals_make_a_node_unreachable_long_before_they_end_its_sessions() {
     let mut node = FailureDetector::new(0);
-    let mut refuse = |now| node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
+    let mut refuse = |now| node.dial_failed(now, now, FailedDial::Refused, None, &limits());
     assert_eq!(refuse(MS), Verdict::Suspected);
     assert_eq!(refuse(100 * MS), Verdict::Unreachable);
-    assert_eq!(refuse(LIMITS.dead_after - 1), Verdict::Unreachable);
-    assert_eq!(refuse(LIMITS.dead_after), Verdict::Dead);
+    assert_eq!(refuse(limits().dead_after - 1), Verdict::Unreachable);
+    assert_eq!(refuse(limits().dead_after), Verdict::Dead);
 }
 
 #[test]
 fn silence_makes_a_node_unreachable_after_the_limit_for_it_and_not_by_the_number_of_dials() {
     let mut node = FailureDetector::new(0);
-    let mut time_out = |now| node.dial_failed(now, now, FailedDial::TimedOut, Some(1_000 * MS), &LIMITS);
+    let mut time_out = |now| node.dial_failed(now, now, FailedDial::TimedOut, Some(1_000 * MS), &limits());
     for now in 1..10 {
         assert_eq!(time_out(1_000 * MS + now * DIAL_TIMEOUT.min(200 * MS)), Verdict::Suspected);
     }
-    assert_eq!(time_out(1_000 * MS + LIMITS.unreachable_after), Verdict::Unreachable);
+    assert_eq!(time_out(1_000 * MS + limits().unreachable_after), Verdict::Unreachable);
 }
 
 #[test]
 fn a_sign_of_life_ends_every_doubt() {
     let mut node = FailureDetector::new(0);
-    node.dial_failed(MS, MS, FailedDial::Refused, None, &LIMITS);
+    node.dial_failed(MS, MS, FailedDial::Refused, None, &limits());
     node.heard(7_000 * MS);
     assert_eq!(node.last_heard(), 7_000 * MS);
     assert_eq!(
-        node.dial_failed(7_001 * MS, 7_001 * MS, FailedDial::Refused, None, &LIMITS),
+        node.dial_failed(7_001 * MS, 7_001 * MS, FailedDial::Refused, None, &limits()),
         Verdict::Suspected
     );
-    assert_eq!(node.next_dial_at(7_001 * MS, &LIMITS), 7_101 * MS, "pauses begin anew");
-    assert_eq!(node.dead_at(&LIMITS), 7_000 * MS + LIMITS.dead_after);
+    assert_eq!(node.next_dial_at(7_001 * MS, &limits()), 7_101 * MS, "pauses begin anew");
+    assert_eq!(node.dead_at(&limits()), 7_000 * MS + limits().dead_after);
 }
 
 #[test]
@@ -125,32 +122,32 @@
     let mut node = FailureDetector::new(0);
     let mut now = 0;
     let mut pauses = Vec::new();
-    while now < LIMITS.dead_after {
+    while now < limits().dead_after {
         assert!(
-            now + DIAL_TIMEOUT <= LIMITS.dead_after,
+            now + DIAL_TIMEOUT <= limits().dead_after,
             "a dial at {now} is in the way of the one that counts"
         );
-        node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
-        let next = node.next_dial_at(now, &LIMITS);
+        node.dial_failed(now, now, FailedDial::Refused, None, &limits());
+        let next = node.next_dial_at(now, &limits());
         pauses.push((next - now) / MS);
         now = next;
     }
     assert_eq!(pauses[..5], [100, 200, 400, 800, 800]);
-    assert_eq!(now, LIMITS.dead_after);
-    assert_eq!(node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS), Verdict::Dead);
+    assert_eq!(now, limits().dead_after);
+    assert_eq!(node.dial_failed(now, now, FailedDial::Refused, None, &limits()), Verdict::Dead);
 }
 
 /// Guards against a verdict by a dial that began when the node was still allowed to be away.
 #[test]
 fn a_dial_that_began_before_the_limit_ends_nothing_and_the_next_one_follows_soon() {
     let mut node = FailureDetector::new(0);
-    node.dial_failed(0, 0, FailedDial::Refused, None, &LIMITS);
-    let (began, ended) = (LIMITS.dead_after - 1, LIMITS.dead_after - 1 + DIAL_TIMEOUT);
-    let verdict = node.dial_failed(began, ended, FailedDial::TimedOut, None, &LIMITS);
+    node.dial_failed(0, 0, FailedDial::Refused, None, &limits());
+    let (began, ended) = (limits().dead_after - 1, limits().dead_after - 1 + DIAL_TIMEOUT);
+    let verdict = node.dial_failed(began, ended, FailedDial::TimedOut, None, &limits());
     assert_eq!(verdict, Verdict::Unreachable);
-    let next = node.next_dial_at(ended, &LIMITS);
-    assert_eq!(next, ended + LIMITS.first_pause);
-    let verdict = node.dial_failed(next, next + DIAL_TIMEOUT, FailedDial::TimedOut, None, &LIMITS);
+    let next = node.next_dial_at(ended, &limits());
+    assert_eq!(next, ended + limits().first_pause);
+    let verdict = node.dial_failed(next, next + DIAL_TIMEOUT, FailedDial::TimedOut, None, &limits());
     assert_eq!(verdict, Verdict::Dead);
 }
 
@@ -158,13 +155,13 @@
 fn a_node_that_was_not_watched_has_the_whole_time_and_one_failed_dial_never_ends_it() {
     let long_ago = 60_000 * MS;
     let refuse =
-        |node: &mut FailureDetector, now| node.dial_failed(now, now, FailedDial::Refused, None, &LIMITS);
+        |node: &mut FailureDetector, now| node.dial_failed(now, now, FailedDial::Refused, None, &limits());
     let mut node = FailureDetector::new(0);
     node.watch_from(long_ago);
     assert_eq!(node.last_heard(), 0);
     assert_eq!(refuse(&mut node, long_ago), Verdict::Suspected);
-    assert_eq!(refuse(&mut node, long_ago + LIMITS.dead_after - 1), Verdict::Unreachable);
-    assert_eq!(refuse(&mut node, long_ago + LIMITS.dead_after), Verdict::Dead);
+    assert_eq!(refuse(&mut node, long_ago + limits().dead_after - 1), Verdict::Unreachable);
+    assert_eq!(refuse(&mut node, long_ago + limits().dead_after), Verdict::Dead);
     // A process that stood still for long has heard nothing meanwhile.
     let mut node = FailureDetector::new(0);
     assert_eq!(refuse(&mut node, long_ago), Verdict::Suspected);
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -20,23 +20,13 @@
 use super::places::DialPurpose;
 use super::*;
 use pepperhook::Outcome;
-use pepperhook_liveness::{FailedDial, Limits, Verdict};
+use pepperhook_liveness::{CHECK_TIME, END_NOTICE_MARGIN, FIRST_REDIAL_PAUSE, FailedDial, Limits, Verdict};
 
-/// Refused dials in a row after which a node is unreachable.
-const UNREACHABLE_REFUSALS: u32 = 2;
-/// The same while a connection to the node is still up: a node at its connection limit refuses dials too.
+/// Refused dials after which a node is unreachable while a connection to it is still up: a node at its connection limit
+/// refuses dials too.
 const UNREACHABLE_REFUSALS_WITH_LINK: u32 = 5;
 /// Time in which a node that has left the list must answer a query.
 const RETIRED_ANSWER_TIME: Time = 800 * MS;
-/// Pause between the first two dials of a suspected node, and between attempts to get a place for one.
-const REDIAL_INTERVAL: Time = 100 * MS;
-/// Longest pause between two dials of a suspected node.
-const LONGEST_REDIAL_PAUSE: Time = 800 * MS;
-/// Time since a suspicion began after which a timed-out dial shows an unreachable node, and for which a node that was
-/// silent is dialled before its sessions end.
-const CHECK_TIME: Time = 2_000 * MS;
-/// Part of [`END_NOTICE_LIMIT`] reserved for the way to the viewer and a delay of this process.
-const END_NOTICE_MARGIN: Time = 250 * MS;
 /// Time of silence after which a timeout makes a node suspect, and time in which a node must close a
 /// half-closed connection.
 pub const SIGN_OF_LIFE_TIME: Time = 500 * MS;
@@ -170,7 +160,7 @@
             }
         } else {
             self.check_without_place(now, incarnation, out);
-            self.schedule_redial(now + REDIAL_INTERVAL, incarnation);
+            self.schedule_redial(now + FIRST_REDIAL_PAUSE, incarnation);
         }
     }
 
@@ -270,7 +260,7 @@
             DialEnd::Failed => Verdict::Suspected,
         };
         let next_dial_at = match dial_end {
-            DialEnd::Failed => now + REDIAL_INTERVAL,
+            DialEnd::Failed => now + FIRST_REDIAL_PAUSE,
             _ => node.detector.next_dial_at(now, &limits),
         };
         let ask = is_up && !std::mem::replace(&mut suspicion.asked, true);
@@ -292,16 +282,11 @@
 
     /// Limits of the failure detectors; `has_link`: a connection to the node is up.
     fn detector_limits(&self, has_link: bool) -> Limits {
-        let refusals = if has_link { UNREACHABLE_REFUSALS_WITH_LINK } else { UNREACHABLE_REFUSALS };
-        Limits {
-            unreachable_refusals: refusals,
-            unreachable_after: CHECK_TIME,
-            // A dial that began before may be in the way of the one that counts.
-            dead_after: END_NOTICE_LIMIT.saturating_sub(2 * self.sockets.dial_timeout + END_NOTICE_MARGIN),
-            dial_timeout: self.sockets.dial_timeout,
-            first_pause: REDIAL_INTERVAL,
-            longest_pause: LONGEST_REDIAL_PAUSE,
+        let limits = Limits::new(END_NOTICE_LIMIT, self.sockets.dial_timeout);
+        if !has_link {
+            return limits;
         }
+        Limits { unreachable_refusals: UNREACHABLE_REFUSALS_WITH_LINK, ..limits }
     }
 
     /// Queries a retired node and ends its sessions if it does not answer.
@@ -343,7 +328,7 @@
     /// that received a message of a node at the same moment do not all check it at the same moment.
     fn quiet_limit(&self, incarnation: IncarnationId, last_heard: Time) -> Time {
         let detection =
-            SWEEP_INTERVAL + CHECK_TIME + self.sockets.dial_timeout + REDIAL_INTERVAL + END_NOTICE_MARGIN;
+            SWEEP_INTERVAL + CHECK_TIME + self.sockets.dial_timeout + FIRST_REDIAL_PAUSE + END_NOTICE_MARGIN;
         let limit = END_NOTICE_LIMIT.saturating_sub(detection);
         let draw = (incarnation.0 ^ last_heard).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 56;
         limit - limit / 8 * draw / 256
