Clean-up: one type counts a buffer's bytes in the total

Cause: three buffers each added to the total, removed from it and had a Drop that did so.

Change: ByteShare does it for the send queue, the inbox and what is read ahead. Behaviour is as before.

--- a/crates/front/src/client_stream.rs
+++ b/crates/front/src/client_stream.rs
@@ -6,7 +6,7 @@
 
 use crate::shared_stream::SharedStream;
 use bytes::{Buf, BytesMut};
-use pepperhook_net::{BufferLimits, ByteTotal};
+use pepperhook_net::{BufferLimits, ByteShare, ByteTotal};
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
@@ -28,7 +28,7 @@
 /// Bytes that were read ahead. They count in the total until hyper takes them.
 struct ReadAhead {
     bytes: BytesMut,
-    total: ByteTotal,
+    share: ByteShare,
     /// The client has closed its sending half, or the connection is broken.
     has_ended: bool,
 }
@@ -38,11 +38,11 @@
     /// had been alone to read it.
     fn fill(&mut self, stream: &TcpStream) {
         let mut buffer = [0; READ_BYTES];
-        while !self.has_ended && self.bytes.len() < LIMITS.current(&self.total) {
+        while !self.has_ended && self.bytes.len() < self.share.limit(&LIMITS) {
             match stream.try_read(&mut buffer) {
                 Ok(n) if n > 0 => {
                     self.bytes.extend_from_slice(&buffer[..n]);
-                    self.total.add(n);
+                    self.share.set(self.bytes.len());
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Ok(_) | Err(_) => self.has_ended = true,
@@ -55,7 +55,7 @@
         let n = self.bytes.len().min(buf.remaining());
         buf.put_slice(&self.bytes[..n]);
         self.bytes.advance(n);
-        self.total.remove(n);
+        self.share.set(self.bytes.len());
         if self.bytes.is_empty() {
             // Gives its memory back.
             self.bytes = BytesMut::new();
@@ -63,12 +63,6 @@
     }
 }
 
-impl Drop for ReadAhead {
-    fn drop(&mut self) {
-        self.total.remove(self.bytes.len());
-    }
-}
-
 /// The connection as hyper reads and writes it.
 pub struct ClientStream {
     stream: SharedStream,
@@ -78,7 +72,7 @@
 impl ClientStream {
     /// A client's connection; what is read ahead of it counts in this total.
     pub fn new(stream: TcpStream, total: ByteTotal) -> Self {
-        let ahead = ReadAhead { bytes: BytesMut::new(), total, has_ended: false };
+        let ahead = ReadAhead { bytes: BytesMut::new(), share: ByteShare::new(total), has_ended: false };
         Self { stream: SharedStream(Arc::new(stream)), ahead: Rc::new(RefCell::new(ahead)) }
     }
 
--- a/crates/front/src/client_stream/tests.rs
+++ b/crates/front/src/client_stream/tests.rs
@@ -89,10 +89,10 @@
     let (mut newcomer, other) = connected(&total).await;
     newcomer.write_all(b"a request").await.expect("cannot write");
     other.stream.0.readable().await.expect("the connection is broken");
-    total.add(LIMITS.total);
+    let mut others = ByteShare::new(total.clone());
+    others.set(LIMITS.total);
     assert!(!other.presence().has_left());
     assert!(other.ahead.borrow().bytes.is_empty(), "bytes were read ahead beyond the total");
-    total.remove(LIMITS.total);
-    drop((presence, stream));
+    drop((presence, stream, others));
     assert_eq!(total.get(), 0);
 }
--- a/crates/net/src/byte_total.rs
+++ b/crates/net/src/byte_total.rs
@@ -8,20 +8,49 @@
 pub struct ByteTotal(Rc<Cell<usize>>);
 
 impl ByteTotal {
-    /// Counts bytes that a buffer took.
-    pub fn add(&self, bytes: usize) {
-        self.0.set(self.0.get() + bytes);
+    /// The sum, in bytes.
+    #[must_use]
+    pub fn get(&self) -> usize {
+        self.0.get()
     }
+}
+
+/// What one buffer contributes to a total. Dropping it takes its bytes out of the total.
+#[derive(Debug)]
+pub struct ByteShare {
+    total: ByteTotal,
+    bytes: usize,
+}
 
-    /// Counts bytes that a buffer gave up. They must have been added before.
-    pub fn remove(&self, bytes: usize) {
-        self.0.set(self.0.get() - bytes);
+impl ByteShare {
+    /// The share of an empty buffer.
+    #[must_use]
+    pub fn new(total: ByteTotal) -> Self {
+        Self { total, bytes: 0 }
     }
 
-    /// The sum, in bytes.
+    /// Number of bytes of this buffer.
     #[must_use]
-    pub fn get(&self) -> usize {
-        self.0.get()
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Sets the number of bytes of this buffer.
+    pub fn set(&mut self, bytes: usize) {
+        self.total.0.set(self.total.0.get() - self.bytes + bytes);
+        self.bytes = bytes;
+    }
+
+    /// The bound of this buffer now, in bytes.
+    #[must_use]
+    pub fn limit(&self, limits: &BufferLimits) -> usize {
+        if self.total.get() > limits.total { limits.always } else { limits.alone }
+    }
+}
+
+impl Drop for ByteShare {
+    fn drop(&mut self) {
+        self.set(0);
     }
 }
 
@@ -35,11 +64,3 @@
     /// Number of bytes that a buffer may always hold.
     pub always: usize,
 }
-
-impl BufferLimits {
-    /// The bound of one buffer now, in bytes.
-    #[must_use]
-    pub fn current(&self, total: &ByteTotal) -> usize {
-        if total.get() > self.total { self.always } else { self.alone }
-    }
-}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod byte_total;
 
-pub use byte_total::{BufferLimits, ByteTotal};
+pub use byte_total::{BufferLimits, ByteShare, ByteTotal};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::ErrorKind;
--- a/crates/platform/src/inbox.rs
+++ b/crates/platform/src/inbox.rs
@@ -2,7 +2,7 @@
 //! together. No I/O.
 
 use crate::peer::EndReason;
-use pepperhook_net::{BufferLimits, ByteTotal};
+use pepperhook_net::{BufferLimits, ByteShare, ByteTotal};
 use pepperhook_rtsp::{Decoder, Message};
 use std::collections::VecDeque;
 
@@ -19,9 +19,8 @@
     messages: VecDeque<Message>,
     /// Received bytes that the decoder has not got yet.
     undecoded: VecDeque<Vec<u8>>,
-    /// Number of bytes received since the inbox was last empty.
-    received_bytes: usize,
-    total: ByteTotal,
+    /// The bytes received since the inbox was last empty.
+    received: ByteShare,
     end: Option<EndReason>,
 }
 
@@ -32,21 +31,19 @@
             decoder: Decoder::default(),
             messages: VecDeque::new(),
             undecoded: VecDeque::new(),
-            received_bytes: 0,
-            total,
+            received: ByteShare::new(total),
             end: None,
         }
     }
 
     /// Returns whether reading may go on.
     pub fn has_room(&self) -> bool {
-        self.end.is_none() && self.received_bytes < LIMITS.current(&self.total)
+        self.end.is_none() && self.received.bytes() < self.received.limit(&LIMITS)
     }
 
     /// Adds received bytes.
     pub fn receive(&mut self, bytes: &[u8]) {
-        self.received_bytes += bytes.len();
-        self.total.add(bytes.len());
+        self.received.set(self.received.bytes() + bytes.len());
         match self.undecoded.back_mut() {
             Some(last) if last.len() + bytes.len() <= CHUNK_BYTES => last.extend_from_slice(bytes),
             _ => self.undecoded.push_back(bytes.to_vec()),
@@ -88,7 +85,7 @@
         }
         let message = self.messages.pop_front();
         if message.is_none() {
-            self.total.remove(std::mem::take(&mut self.received_bytes));
+            self.received.set(0);
         }
         message
     }
@@ -109,11 +106,5 @@
     }
 }
 
-impl Drop for Inbox {
-    fn drop(&mut self) {
-        self.total.remove(self.received_bytes);
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/inbox/tests.rs
+++ b/crates/platform/src/inbox/tests.rs
@@ -30,18 +30,18 @@
     let fill = |bytes: usize| {
         let mut inbox = Inbox::new(total.clone());
         let mut number = 0;
-        while inbox.has_room() && inbox.received_bytes < bytes {
+        while inbox.has_room() && inbox.received.bytes() < bytes {
             inbox.receive(&request(number));
             number += 1;
         }
         inbox
     };
     let mut alone = fill(usize::MAX);
-    assert!((LIMITS.alone..LIMITS.alone + 1_000).contains(&alone.received_bytes));
+    assert!((LIMITS.alone..LIMITS.alone + 1_000).contains(&alone.received.bytes()));
     // Many peers fill the total; then each may still have a little read.
     let others: Vec<_> = (0..LIMITS.total / LIMITS.alone).map(|_| fill(LIMITS.alone)).collect();
     let newcomer = fill(usize::MAX);
-    assert!((LIMITS.always..LIMITS.always + 1_000).contains(&newcomer.received_bytes));
+    assert!((LIMITS.always..LIMITS.always + 1_000).contains(&newcomer.received.bytes()));
     while alone.pop().is_some() {}
     assert!(alone.has_room(), "what was taken makes room");
     drop((others, alone));
--- a/crates/platform/src/send_queue.rs
+++ b/crates/platform/src/send_queue.rs
@@ -1,7 +1,7 @@
 //! Bytes that a connection has still to write, bounded for one connection and for all of them together. No I/O.
 
 use bytes::{Buf, BytesMut};
-use pepperhook_net::{BufferLimits, ByteTotal};
+use pepperhook_net::{BufferLimits, ByteShare, ByteTotal};
 
 /// Bounds on the queues of all connections.
 const LIMITS: BufferLimits = BufferLimits { alone: 256 * 1024, total: 32 * 1024 * 1024, always: 16 * 1024 };
@@ -10,13 +10,13 @@
 #[derive(Debug)]
 pub struct SendQueue {
     bytes: BytesMut,
-    total: ByteTotal,
+    share: ByteShare,
 }
 
 impl SendQueue {
     /// An empty queue that counts in this total.
     pub fn new(total: ByteTotal) -> Self {
-        Self { bytes: BytesMut::new(), total }
+        Self { bytes: BytesMut::new(), share: ByteShare::new(total) }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -32,20 +32,14 @@
     #[must_use]
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         self.bytes.extend_from_slice(bytes);
-        self.total.add(bytes.len());
-        self.bytes.len() <= LIMITS.current(&self.total)
+        self.share.set(self.bytes.len());
+        self.bytes.len() <= self.share.limit(&LIMITS)
     }
 
     /// Removes this many bytes, which were written.
     pub fn advance(&mut self, written: usize) {
         self.bytes.advance(written);
-        self.total.remove(written);
-    }
-}
-
-impl Drop for SendQueue {
-    fn drop(&mut self) {
-        self.total.remove(self.bytes.len());
+        self.share.set(self.bytes.len());
     }
 }
 
