Clean-up: copies of a request are told apart at one place

Cause: the stop and the full front made an exception for copies beside the one that the fence and closed classes had.

Change: post looks once, and policy_refusal judges new requests only. Behaviour is as before.

--- a/crates/front/src/engine/mod.rs
+++ b/crates/front/src/engine/mod.rs
@@ -320,22 +320,23 @@
             self.config.decisions.send_retry_after.then_some(self.config.decisions.max_retry_after);
         let full = self.tickets.len() + self.parked.len() >= limits.waiting
             || self.sessions.len() >= limits.sessions;
-        // A copy of a request whose set-up is under way waits for its answer: a refusal would say that a new try does no harm.
-        let is_copy = self.viewers.is_duplicate(request.viewer, request.offer_hash);
-        let refusal = match (self.stopping, full) {
-            _ if is_copy => None,
-            (true, _) => Some(Refusal::Stopping),
-            (_, true) => Some(Refusal::Overload),
-            _ => None,
-        };
         self.metrics.requests += 1;
-        if let Some(reason) = refusal {
-            return self.answer(ticket, Answer::Refused(retry_after, reason), effects);
+        // A copy of a request under way starts nothing and waits for its answer: a refusal would say that a new try does no
+        // harm.
+        if !self.viewers.is_duplicate(request.viewer, request.offer_hash) {
+            let refusal = match (self.stopping, full) {
+                (true, _) => Some(Answer::Refused(retry_after, Refusal::Stopping)),
+                (_, true) => Some(Answer::Refused(retry_after, Refusal::Overload)),
+                _ => self.policy_refusal(&request),
+            };
+            if let Some(answer) = refusal {
+                return self.answer(ticket, answer, effects);
+            }
         }
-        let patience = self.patience(request.class);
-        if let Some(answer) = self.policy_refusal(&request).or_else(|| self.publisher_conflict(&request)) {
+        if let Some(answer) = self.publisher_conflict(&request) {
             return self.answer(ticket, answer, effects);
         }
+        let patience = self.patience(request.class);
         match self.viewers.admit(request.viewer, request.offer_hash) {
             Admission::Start => self.start_session(now, now, ticket, request, patience, effects),
             Admission::Join(id) => {
--- a/crates/front/src/engine/policy.rs
+++ b/crates/front/src/engine/policy.rs
@@ -270,18 +270,11 @@
         RequestTerms { version: self.policy.version, aim, patience: self.patience(class) }
     }
 
-    /// The answer that refuses a request because the front is fenced or its class is closed; `None` if it may proceed.
-    /// A duplicate of an accepted request starts no set-up and is not refused.
+    /// The answer that refuses a new request because the front is fenced or its class is closed; `None` if it may proceed.
     pub(super) fn policy_refusal(&self, request: &SessionRequest) -> Option<Answer> {
-        if !self.policy.fenced && self.policy.closed_classes.is_empty() {
-            return None;
-        }
-        match (self.viewers.is_duplicate(request.viewer, request.offer_hash), self.policy.fenced) {
-            (true, _) => None,
-            (false, true) => Some(Answer::Refused(None, Refusal::Fenced)),
-            (false, false) => {
-                self.policy.closed_classes.contains(&request.class).then_some(Answer::ClassClosed)
-            }
+        if self.policy.fenced {
+            return Some(Answer::Refused(None, Refusal::Fenced));
         }
+        self.policy.closed_classes.contains(&request.class).then_some(Answer::ClassClosed)
     }
 }
