Clean-up: requests that a stop waits for are counted by one guard

Change: background requests and forwarded ones each had a counter with its own steps. RequestCount has them.

Measured: the 43 unit tests of front pass.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -69,9 +69,9 @@
     streams: RefCell<HashMap<String, mpsc::Sender<String>>>,
     layers: RefCell<PendingLayers>,
     /// Number of requests to nodes in progress whose result nobody waits for.
-    background_requests: Cell<usize>,
+    background_requests: RequestCount,
     /// Number of clients' requests that are forwarded to their nodes at present.
-    forwarded_requests: Cell<usize>,
+    forwarded_requests: RequestCount,
     last_warning: Cell<Option<Instant>>,
     upstream: Upstream,
     /// This front's I/O with the other fronts.
@@ -113,13 +113,32 @@
     }
 }
 
-/// A client's request that is forwarded to its node. A stop waits until it is dropped.
-pub struct ForwardedRequest(Rc<Shell>);
+/// Number of requests in progress that a stop waits for.
+#[derive(Default)]
+struct RequestCount(Rc<Cell<usize>>);
 
-impl Drop for ForwardedRequest {
+impl RequestCount {
+    fn get(&self) -> usize {
+        self.0.get()
+    }
+
+    /// Counts one more, until the result is dropped.
+    fn begin(&self, shell: &Rc<Shell>) -> CountedRequest {
+        self.0.set(self.0.get() + 1);
+        CountedRequest { shell: shell.clone(), count: self.0.clone() }
+    }
+}
+
+/// A request in progress that a stop waits for, until it is dropped.
+pub struct CountedRequest {
+    shell: Rc<Shell>,
+    count: Rc<Cell<usize>>,
+}
+
+impl Drop for CountedRequest {
     fn drop(&mut self) {
-        self.0.forwarded_requests.set(self.0.forwarded_requests.get() - 1);
-        self.0.work_done.notify_one();
+        self.count.set(self.count.get() - 1);
+        self.shell.work_done.notify_one();
     }
 }
 
@@ -143,9 +162,8 @@
     }
 
     /// Counts a client's request that is forwarded to its node, until the result is dropped.
-    pub fn begin_forwarding(self: &Rc<Self>) -> ForwardedRequest {
-        self.forwarded_requests.set(self.forwarded_requests.get() + 1);
-        ForwardedRequest(self.clone())
+    pub fn begin_forwarding(self: &Rc<Self>) -> CountedRequest {
+        self.forwarded_requests.begin(self)
     }
 
     /// Where to forward a request on a session: its route, and the address of the node.
@@ -251,12 +269,10 @@
 
     /// Spawns a request to a node that [`Front::stop`] waits for.
     fn spawn_background(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
-        let shell = self.clone();
-        self.background_requests.set(self.background_requests.get() + 1);
+        let counted = self.background_requests.begin(self);
         spawn_local(async move {
             work.await;
-            shell.background_requests.set(shell.background_requests.get() - 1);
-            shell.work_done.notify_one();
+            drop(counted);
         });
     }
 
@@ -435,8 +451,8 @@
             attempts: RefCell::default(),
             streams: RefCell::default(),
             layers: RefCell::default(),
-            background_requests: Cell::new(0),
-            forwarded_requests: Cell::new(0),
+            background_requests: RequestCount::default(),
+            forwarded_requests: RequestCount::default(),
             last_warning: Cell::new(None),
             upstream,
             timers_changed: Notify::new(),
