Clean-up: the detector derives when a dial began; a lost session ends at one place

Cause: both front ends computed the begin of a dial from how it failed, and three places of serve ended a session as lost.

Change: FailedDial::began_at, and lose_session_at, which the comparison with a node's list calls too.

--- a/crates/front/src/engine/node_watch.rs
+++ b/crates/front/src/engine/node_watch.rs
@@ -3,8 +3,7 @@
 //!
 //! Each connection that comes up and each answer is a sign of life, whatever it says. A failed dial is judged by the
 //! failure detector; until its verdict the stream is dialled again, with pauses. If the verdict is wrong, the node plays
-//! on what was given up here. So these sessions are kept by their paths, and deleted once the node
-//! is reached.
+//! on what was given up here. So these sessions are kept by their paths, and deleted once the node is reached.
 
 use super::types::*;
 use super::{Engine, Timer};
@@ -108,11 +107,7 @@
     fn judge_failed_dial(&mut self, now: Time, node: ServerId, end: FailedDial, effects: &mut Vec<Effect>) {
         let limits = self.detector_limits();
         let Some(state) = self.nodes.get_mut(&node) else { return };
-        let began = match end {
-            FailedDial::Refused => now,
-            FailedDial::TimedOut => now.saturating_sub(limits.dial_timeout),
-        };
-        if state.watch.detector.dial_failed(began, now, end, None, &limits) == Verdict::Dead {
+        if state.watch.detector.dial_failed(now, end, None, &limits) == Verdict::Dead {
             return self.give_up_sessions(now, node, effects);
         }
         let next_dial_at = state.watch.detector.next_dial_at(now, &limits);
@@ -132,17 +127,22 @@
             playing.len()
         )));
         for (_, id) in playing {
-            self.end_playing(id, Outcome::Broken, false, Some(("inactive", "lost")), effects);
+            self.lose_session(id, effects);
         }
         self.delete_given_up_at(now.saturating_add(GIVEN_UP_PAUSE), node);
     }
 
-    fn lose_session_at(&mut self, node: ServerId, path: &str, effects: &mut Vec<Effect>) {
+    /// Ends a session that its node does not know any more.
+    pub(super) fn lose_session_at(&mut self, node: ServerId, path: &str, effects: &mut Vec<Effect>) {
         if let Some(id) = self.nodes.get(&node).and_then(|state| state.playing.get(path)).copied() {
-            self.end_playing(id, Outcome::Broken, false, Some(("inactive", "lost")), effects);
+            self.lose_session(id, effects);
         }
     }
 
+    fn lose_session(&mut self, id: SessionId, effects: &mut Vec<Effect>) {
+        self.end_playing(id, Outcome::Broken, false, Some(("inactive", "lost")), effects);
+    }
+
     fn delete_given_up_at(&mut self, at: Time, node: ServerId) {
         let Some(state) = self.nodes.get_mut(&node) else { return };
         if !state.watch.given_up.is_empty() && !state.watch.is_deleting {
--- a/crates/front/src/engine/reconcile.rs
+++ b/crates/front/src/engine/reconcile.rs
@@ -6,7 +6,7 @@
 
 use super::Engine;
 use super::types::Effect;
-use pepperhook::{Outcome, ServerId};
+use pepperhook::ServerId;
 use std::collections::BTreeSet;
 
 /// How one list of a node differs from the sessions that this front knows there, by path at the node.
@@ -43,11 +43,8 @@
             effects.push(Effect::DeleteUpstream(node, path.clone()));
         }
         for path in differences.missing.intersection(&previous.missing) {
-            let id = self.nodes.get(&node).and_then(|n| n.playing.get(path)).copied();
-            if let Some(id) = id {
-                self.metrics.sessions_missing += 1;
-                self.end_playing(id, Outcome::Broken, false, Some(("inactive", "lost")), effects);
-            }
+            self.metrics.sessions_missing += 1;
+            self.lose_session_at(node, path, effects);
         }
     }
 }
--- a/crates/liveness/src/lib.rs
+++ b/crates/liveness/src/lib.rs
@@ -76,6 +76,17 @@
     TimedOut,
 }
 
+impl FailedDial {
+    /// When a dial that failed now began, if it is given up after `dial_timeout`. A refusal comes at once.
+    #[must_use]
+    pub fn began_at(self, now: Time, dial_timeout: Time) -> Time {
+        match self {
+            Self::Refused => now,
+            Self::TimedOut => now.saturating_sub(dial_timeout),
+        }
+    }
+}
+
 /// What is held of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
@@ -124,10 +135,9 @@
         *self = Self { last_heard: self.last_heard, ..Self::new(now) };
     }
 
-    /// A dial that began at `began` failed now. `doubted_since` is when the caller began to doubt that the node lives, if that was before.
+    /// A dial failed now. `doubted_since` is when the caller began to doubt that the node lives, if that was before.
     pub fn dial_failed(
         &mut self,
-        began: Time,
         now: Time,
         end: FailedDial,
         doubted_since: Option<Time>,
@@ -138,7 +148,7 @@
         self.failed_dials = self.failed_dials.saturating_add(1);
         self.refused_dials = self.refused_dials.saturating_add(u32::from(end == FailedDial::Refused));
         let is_unreachable = now >= self.unreachable_at(limits);
-        match (is_unreachable, began >= self.dead_at(limits)) {
+        match (is_unreachable, end.began_at(now, limits.dial_timeout) >= self.dead_at(limits)) {
             (false, _) => Verdict::Suspected,
             (true, false) => Verdict::Unreachable,
             (true, true) => Verdict::Dead,
--- a/crates/liveness/src/tests.rs
+++ b/crates/liveness/src/tests.rs
@@ -40,9 +40,8 @@
             Fault::Mixed => rng.random_bool(0.5),
         };
         let end = if refused { FailedDial::Refused } else { FailedDial::TimedOut };
-        let began = now;
         now += if refused { MS } else { DIAL_TIMEOUT };
-        if node.dial_failed(began, now, end, Some(0), &limits()) == Verdict::Dead {
+        if node.dial_failed(now, end, Some(0), &limits()) == Verdict::Dead {
             return (Verdict::Dead, now, dials);
         }
         now = node.next_dial_at(now, &limits());
@@ -86,7 +85,7 @@
 #[test]
 fn refusals_make_a_node_unreachable_long_before_they_end_its_sessions() {
     let mut node = FailureDetector::new(0);
-    let mut refuse = |now| node.dial_failed(now, now, FailedDial::Refused, None, &limits());
+    let mut refuse = |now| node.dial_failed(now, FailedDial::Refused, None, &limits());
     assert_eq!(refuse(MS), Verdict::Suspected);
     assert_eq!(refuse(100 * MS), Verdict::Unreachable);
     assert_eq!(refuse(limits().dead_after - 1), Verdict::Unreachable);
@@ -96,7 +95,7 @@
 #[test]
 fn silence_makes_a_node_unreachable_after_the_limit_for_it_and_not_by_the_number_of_dials() {
     let mut node = FailureDetector::new(0);
-    let mut time_out = |now| node.dial_failed(now, now, FailedDial::TimedOut, Some(1_000 * MS), &limits());
+    let mut time_out = |now| node.dial_failed(now, FailedDial::TimedOut, Some(1_000 * MS), &limits());
     for now in 1..10 {
         assert_eq!(time_out(1_000 * MS + now * DIAL_TIMEOUT.min(200 * MS)), Verdict::Suspected);
     }
@@ -106,13 +105,10 @@
 #[test]
 fn a_sign_of_life_ends_every_doubt() {
     let mut node = FailureDetector::new(0);
-    node.dial_failed(MS, MS, FailedDial::Refused, None, &limits());
+    node.dial_failed(MS, FailedDial::Refused, None, &limits());
     node.heard(7_000 * MS);
     assert_eq!(node.last_heard(), 7_000 * MS);
-    assert_eq!(
-        node.dial_failed(7_001 * MS, 7_001 * MS, FailedDial::Refused, None, &limits()),
-        Verdict::Suspected
-    );
+    assert_eq!(node.dial_failed(7_001 * MS, FailedDial::Refused, None, &limits()), Verdict::Suspected);
     assert_eq!(node.next_dial_at(7_001 * MS, &limits()), 7_101 * MS, "pauses begin anew");
     assert_eq!(node.dead_at(&limits()), 7_000 * MS + limits().dead_after);
 }
@@ -127,27 +123,27 @@
             now + DIAL_TIMEOUT <= limits().dead_after,
             "a dial at {now} is in the way of the one that counts"
         );
-        node.dial_failed(now, now, FailedDial::Refused, None, &limits());
+        node.dial_failed(now, FailedDial::Refused, None, &limits());
         let next = node.next_dial_at(now, &limits());
         pauses.push((next - now) / MS);
         now = next;
     }
     assert_eq!(pauses[..5], [100, 200, 400, 800, 800]);
     assert_eq!(now, limits().dead_after);
-    assert_eq!(node.dial_failed(now, now, FailedDial::Refused, None, &limits()), Verdict::Dead);
+    assert_eq!(node.dial_failed(now, FailedDial::Refused, None, &limits()), Verdict::Dead);
 }
 
 /// Guards against a verdict by a dial that began when the node was still allowed to be away.
 #[test]
 fn a_dial_that_began_before_the_limit_ends_nothing_and_the_next_one_follows_soon() {
     let mut node = FailureDetector::new(0);
-    node.dial_failed(0, 0, FailedDial::Refused, None, &limits());
-    let (began, ended) = (limits().dead_after - 1, limits().dead_after - 1 + DIAL_TIMEOUT);
-    let verdict = node.dial_failed(began, ended, FailedDial::TimedOut, None, &limits());
+    node.dial_failed(0, FailedDial::Refused, None, &limits());
+    let ended = limits().dead_after - 1 + DIAL_TIMEOUT;
+    let verdict = node.dial_failed(ended, FailedDial::TimedOut, None, &limits());
     assert_eq!(verdict, Verdict::Unreachable);
     let next = node.next_dial_at(ended, &limits());
     assert_eq!(next, ended + limits().first_pause);
-    let verdict = node.dial_failed(next, next + DIAL_TIMEOUT, FailedDial::TimedOut, None, &limits());
+    let verdict = node.dial_failed(next + DIAL_TIMEOUT, FailedDial::TimedOut, None, &limits());
     assert_eq!(verdict, Verdict::Dead);
 }
 
@@ -155,7 +151,7 @@
 fn a_node_that_was_not_watched_has_the_whole_time_and_one_failed_dial_never_ends_it() {
     let long_ago = 60_000 * MS;
     let refuse =
-        |node: &mut FailureDetector, now| node.dial_failed(now, now, FailedDial::Refused, None, &limits());
+        |node: &mut FailureDetector, now| node.dial_failed(now, FailedDial::Refused, None, &limits());
     let mut node = FailureDetector::new(0);
     node.watch_from(long_ago);
     assert_eq!(node.last_heard(), 0);
--- a/crates/platform/src/core/liveness.rs
+++ b/crates/platform/src/core/liveness.rs
@@ -229,7 +229,6 @@
         dial_end: DialEnd,
         out: &mut Vec<Effect>,
     ) {
-        let dial_timeout = self.sockets.dial_timeout;
         let Some(node) = self.incarnations.get_mut(&incarnation) else { return };
         if node.retired {
             if node.links.is_empty() {
@@ -245,23 +244,24 @@
             node.suspicion = None;
             return;
         }
-        let dial_began = if dial_end == DialEnd::TimedOut { now.saturating_sub(dial_timeout) } else { now };
+        let end = match dial_end {
+            DialEnd::Refused => Some(FailedDial::Refused),
+            DialEnd::TimedOut => Some(FailedDial::TimedOut),
+            DialEnd::Failed => None,
+        };
+        let dial_began = end.map_or(now, |end| end.began_at(now, limits.dial_timeout));
         let suspicion = node.suspicion.get_or_insert(Suspicion::new(dial_began, true));
         if node.detector.last_heard() > suspicion.since {
             // It sends on another connection and only accepts no new one.
             node.suspicion = None;
             return self.end_lost_attempts(incarnation, Outcome::LinkBroken);
         }
-        let doubted_since = Some(suspicion.since);
-        let mut judge = |end| node.detector.dial_failed(dial_began, now, end, doubted_since, &limits);
-        let verdict = match dial_end {
-            DialEnd::Refused => judge(FailedDial::Refused),
-            DialEnd::TimedOut => judge(FailedDial::TimedOut),
-            DialEnd::Failed => Verdict::Suspected,
-        };
-        let next_dial_at = match dial_end {
-            DialEnd::Failed => now + FIRST_REDIAL_PAUSE,
-            _ => node.detector.next_dial_at(now, &limits),
+        let (verdict, next_dial_at) = match end {
+            Some(end) => (
+                node.detector.dial_failed(now, end, Some(suspicion.since), &limits),
+                node.detector.next_dial_at(now, &limits),
+            ),
+            None => (Verdict::Suspected, now + FIRST_REDIAL_PAUSE),
         };
         let ask = is_up && !std::mem::replace(&mut suspicion.asked, true);
         if verdict == Verdict::Dead {
